--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,223 @@
+// Package discovery asks the registry for the endpoints: the whole list, or a
+// watch on what changes.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Entry is one endpoint as the registry lists it.
+type Entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"` // "active", "leaving" or, among changes, "left"
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"` // Unix time; 0: long ago
+}
+
+// List is an answer of the registry: the whole list, or only changes.
+type List struct {
+	Version int64
+	Full    bool
+	Servers []Entry
+}
+
+const (
+	maxAnswer  = 16 << 20 // bytes: bounds what a registry gone wrong can make us hold
+	maxEntries = 1 << 14
+	pieceGap   = time.Second            // an answer that pauses for longer has broken off
+	entryGap   = 100 * time.Millisecond // entries that came whole are told when the rest takes longer
+)
+
+// Decode reads a list. On an error it returns the entries that came whole.
+func Decode(r io.Reader) (List, error) {
+	var list List
+	err := decode(r, &list, func(e Entry) { list.Servers = append(list.Servers, e) })
+	return list, err
+}
+
+// decode reads a list and hands out every entry as soon as it is whole: an
+// answer may stop at any byte, and what came before that is true.
+func decode(r io.Reader, list *List, each func(Entry)) error {
+	dec := json.NewDecoder(r)
+	if err := expect(dec, '{'); err != nil {
+		return err
+	}
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return err
+		}
+		switch name {
+		case "version":
+			err = dec.Decode(&list.Version)
+		case "full":
+			err = dec.Decode(&list.Full)
+		case "servers":
+			err = decodeEntries(dec, each)
+		default:
+			var skipped json.RawMessage
+			err = dec.Decode(&skipped)
+		}
+		if err != nil {
+			return fmt.Errorf("list: %v: %w", name, err)
+		}
+	}
+	return expect(dec, '}')
+}
+
+func decodeEntries(dec *json.Decoder, each func(Entry)) error {
+	if err := expect(dec, '['); err != nil {
+		return err
+	}
+	for n := 0; dec.More(); n++ {
+		var e Entry
+		if err := dec.Decode(&e); err != nil {
+			return err
+		}
+		if n == maxEntries {
+			return fmt.Errorf("more than %d entries", maxEntries)
+		}
+		if e.ID != "" {
+			each(e)
+		}
+	}
+	return expect(dec, ']')
+}
+
+func expect(dec *json.Decoder, want json.Delim) error {
+	got, err := dec.Token()
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err == nil && got != want {
+		return fmt.Errorf("%v in place of %v", got, want)
+	}
+	return err
+}
+
+// Client calls the registry.
+type Client struct {
+	http http.Client
+	base string
+}
+
+// NewClient makes a client for the registry at addr. It holds at most two
+// connections.
+func NewClient(addr string) *Client {
+	return &Client{
+		base: "http://" + addr + "/registry/instances",
+		http: http.Client{Transport: &http.Transport{
+			DialContext:        (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxConnsPerHost:    2,
+			DisableCompression: true,
+		}},
+	}
+}
+
+// CloseIdle closes the connection kept for the next call. After a failure a
+// new one is wanted: the old may be one on which nothing comes any more.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Get asks for the whole list.
+func (c *Client) Get(ctx context.Context, patience time.Duration, early func([]Entry)) (List, error) {
+	return c.call(ctx, c.base, patience, early)
+}
+
+// Watch waits up to wait for something newer than since, and patience more
+// for the answer to begin. Entries whose answer then takes its time are given
+// to early at once; the List returned holds them all again. On an error it
+// holds those that came whole.
+func (c *Client) Watch(ctx context.Context, since int64, wait, patience time.Duration, early func([]Entry)) (List, error) {
+	query := url.Values{"since": {strconv.FormatInt(since, 10)}, "timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	return c.call(ctx, c.base+"?"+query.Encode(), wait+patience, early)
+}
+
+func (c *Client) call(ctx context.Context, url string, patience time.Duration, early func([]Entry)) (List, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(patience, func() { cancel(errors.New("discovery is silent")) })
+	defer silence.Stop()
+
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return List{}, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return List{}, cause(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return List{}, fmt.Errorf("discovery answered %d", resp.StatusCode)
+	}
+	silence.Reset(pieceGap)
+	body := progress{io.LimitReader(resp.Body, maxAnswer), func() { silence.Reset(pieceGap) }}
+
+	var list List
+	entries := make(chan Entry)
+	done := make(chan error, 1)
+	go func() {
+		err := decode(body, &list, func(e Entry) { entries <- e })
+		if err == nil { // read to the end, so that the connection can be used again
+			_, err = io.Copy(io.Discard, body)
+		}
+		close(entries)
+		done <- err
+	}()
+	var got []Entry
+	told := 0
+	gap := time.NewTimer(entryGap)
+	defer gap.Stop()
+	for {
+		select {
+		case e, more := <-entries:
+			if !more {
+				err := <-done
+				list.Servers = got
+				return list, cause(ctx, err)
+			}
+			got = append(got, e)
+			gap.Reset(entryGap)
+		case <-gap.C:
+			if told < len(got) {
+				early(got[told:])
+				told = len(got)
+			}
+		}
+	}
+}
+
+// cause prefers the reason for which ctx was ended to the error it led to.
+func cause(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// progress calls moved whenever something was read.
+type progress struct {
+	io.Reader
+	moved func()
+}
+
+func (p progress) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	if n > 0 {
+		p.moved()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,104 @@
+// Package sidecar is the process round the decision module: it takes requests
+// from the application, carries out what the module decides and tells it how
+// that went. It decides nothing itself.
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+
+	"ploverusher/internal/discovery"
+	"ploverusher/internal/wire"
+)
+
+// Config is what a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     discovery.List
+	Settings  wire.Settings
+}
+
+// Limits are those of the sidecar's machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// LoadConfig reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and
+// NODE_DISCOVERY go before what it says.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	switch {
+	case c.Listen == "":
+		return Config{}, errors.New("neither NODE_LISTEN nor the configuration tells where to listen")
+	case c.Discovery == "":
+		return Config{}, errors.New("neither NODE_DISCOVERY nor the configuration tells where discovery is")
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (Config, error) {
+	var raw struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	raw.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Config{}, err
+	}
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits}
+	var err error
+	if len(raw.Settings) == 0 {
+		return c, errors.New("settings are missing")
+	}
+	if c.Settings, err = wire.DecodeSettings(raw.Settings); err != nil {
+		return c, err
+	}
+	if len(raw.Known) > 0 && !bytes.Equal(raw.Known, []byte("null")) {
+		if c.Known, err = discovery.Decode(bytes.NewReader(raw.Known)); err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+	}
+	c.Seed = rand.Uint64()
+	if raw.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+			return c, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if c.Limits.Sockets < minSockets || c.Limits.MemoryMB < minMemoryMB {
+		return c, fmt.Errorf("limits: %d sockets and %d MB are too few: at least %d and %d are needed",
+			c.Limits.Sockets, c.Limits.MemoryMB, minSockets, minMemoryMB)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/sidecar/endpoints.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"hash/fnv"
+	"log/slog"
+	"slices"
+	"time"
+
+	"ploverusher/internal/discovery"
+	"ploverusher/policy"
+)
+
+// endpoints is the list as the registry has told it, with a number for each
+// id. It holds what is listed and nothing else, so it is as long as the list.
+type endpoints struct {
+	kinds, zones []string
+	byName       map[string]*endpoint
+	byID         map[policy.EndpointID]*endpoint
+}
+
+type endpoint struct {
+	policy.Endpoint
+	name, addr string
+}
+
+func newEndpoints(kinds, zones []string) *endpoints {
+	return &endpoints{kinds, zones, map[string]*endpoint{}, map[policy.EndpointID]*endpoint{}}
+}
+
+// number gives an id its number: a hash, since the module's choice by key has
+// to fall on the same endpoints at every sidecar. The next free one is taken
+// where two ids meet.
+func (t *endpoints) number(name string) policy.EndpointID {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := policy.EndpointID(h.Sum32())
+	for t.byID[id] != nil {
+		id++
+	}
+	return id
+}
+
+// apply takes a list, or changes, and returns what the module is to be told.
+func (t *endpoints) apply(entries []discovery.Entry, full bool) []policy.Endpoint {
+	told := make([]policy.Endpoint, 0, len(entries))
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		p := policy.Endpoint{
+			Kind: max(slices.Index(t.kinds, e.Kind), 0), Zone: max(slices.Index(t.zones, e.Zone), 0), Cell: e.Cell,
+			Started: time.Duration(e.StartedMS) * time.Millisecond, Nominal: e.Weight,
+		}
+		switch e.State {
+		case "leaving":
+			p.Readiness = policy.Draining
+		case "left":
+			p.Readiness = policy.Gone
+		}
+		known := t.byName[e.ID]
+		switch {
+		case known != nil:
+			p.ID = known.ID
+		case p.Readiness == policy.Gone:
+			continue
+		default:
+			p.ID = t.number(e.ID)
+		}
+		if known == nil || known.Readiness != p.Readiness || known.Started != p.Started {
+			slog.Info("endpoint", "id", e.ID, "addr", e.Addr, "state", e.State, "started_ms", e.StartedMS)
+		}
+		told = append(told, p)
+		if p.Readiness == policy.Gone {
+			t.drop(known)
+			continue
+		}
+		listed[e.ID] = true
+		known = &endpoint{p, e.ID, e.Addr}
+		t.byName[e.ID], t.byID[p.ID] = known, known
+	}
+	if full {
+		for name, e := range t.byName {
+			if !listed[name] {
+				slog.Info("endpoint is no longer listed", "id", name)
+				t.drop(e)
+			}
+		}
+	}
+	return told
+}
+
+func (t *endpoints) drop(e *endpoint) {
+	delete(t.byName, e.name)
+	delete(t.byID, e.ID)
+}
--- /dev/null
+++ b/internal/sidecar/probe.go
@@ -0,0 +1,72 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"ploverusher/internal/upstream"
+	"ploverusher/policy"
+)
+
+// probePatience bounds a probe: the module waits for it with a timer of its
+// own, so this only frees the connection.
+const probePatience = time.Second
+
+// probe asks an endpoint for its load report, or for its health where there
+// are no reports.
+func (d *driver) probe(id policy.EndpointID) {
+	e := d.endpoints.byID[id]
+	if e == nil {
+		return
+	}
+	path := "/health/live"
+	if len(d.report) > 0 {
+		path = "/stats"
+	}
+	addr := e.addr
+	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nReq-Deadline: ", path, addr)
+	go func() {
+		defer logPanic("probe")
+		a := d.pool.Do(context.Background(), addr, &upstream.Request{Head: head}, probePatience)
+		if a.Rest != nil {
+			a.Rest.Close()
+		}
+		r := policy.ProbeResult{Endpoint: id, Result: a.Result, Elapsed: a.Elapsed}
+		if a.Result == policy.Served {
+			r.Report = parseReport(d.report, string(a.Body))
+		}
+		d.event(func(b *policy.Balancer, now time.Duration) []policy.Action { return b.Probed(now, r) })
+	}()
+}
+
+// reportNames are the names that a load report may use for a field of the
+// settings.
+var reportNames = map[string]string{
+	"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps", "fail_rate": "eps",
+}
+
+// parseReport puts a load report's values in the order of the settings; nil
+// where one is missing or no number.
+func parseReport(fields []string, text string) []float64 {
+	values := map[string]string{}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(part, "=")
+		values[strings.TrimSpace(name)] = strings.TrimSpace(value)
+	}
+	var report []float64
+	for _, f := range fields {
+		v, ok := values[f]
+		if !ok {
+			v = values[reportNames[f]]
+		}
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return nil
+		}
+		report = append(report, x)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,361 @@
+// Package wire hosts instances of the decision module on the bench's line
+// protocol. It decides nothing.
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"ploverusher/policy"
+)
+
+// message is one line: its name and its fields in order.
+type message struct {
+	name   string
+	fields []field
+}
+
+type field struct{ name, value string }
+
+// parse splits a line. The fields reuse buf.
+func parse(line string, buf []field) (message, error) {
+	name, rest, more := strings.Cut(line, "\t")
+	m := message{name: name, fields: buf[:0]}
+	for more {
+		var part string
+		if strings.HasPrefix(rest, "options=") || strings.HasPrefix(rest, "text=") {
+			part, more = rest, false // these run to the end of the line
+		} else {
+			part, rest, more = strings.Cut(rest, "\t")
+		}
+		key, value, ok := strings.Cut(part, "=")
+		if !ok || key == "" {
+			return m, fmt.Errorf("%s: %q is not name=value", name, part)
+		}
+		m.fields = append(m.fields, field{key, value})
+	}
+	return m, nil
+}
+
+// reader takes typed values from a message and keeps the first error.
+type reader struct {
+	m   message
+	err error
+}
+
+func (r *reader) lookup(name string) (string, bool) {
+	for i := range r.m.fields {
+		if r.m.fields[i].name == name {
+			return r.m.fields[i].value, true
+		}
+	}
+	return "", false
+}
+
+func (r *reader) fail(name, value, want string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("%s: %s=%q is not %s", r.m.name, name, value, want)
+	}
+}
+
+func (r *reader) text(name string) string {
+	v, ok := r.lookup(name)
+	if !ok && r.err == nil {
+		r.err = fmt.Errorf("%s: %s is missing", r.m.name, name)
+	}
+	return v
+}
+
+// id reads a number below 2^32 that has to be there.
+func (r *reader) id(name string) uint32 {
+	v := r.text(name)
+	if r.err != nil {
+		return 0
+	}
+	n, err := strconv.ParseUint(v, 10, 32)
+	if err != nil {
+		r.fail(name, v, "a number below 2^32")
+	}
+	return uint32(n)
+}
+
+// integer reads an optional whole number; absent is 0.
+func (r *reader) integer(name string) int {
+	v, ok := r.lookup(name)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.ParseInt(v, 10, 32)
+	if err != nil {
+		r.fail(name, v, "a whole number")
+	}
+	return int(n)
+}
+
+// number reads an optional number; absent is 0.
+func (r *reader) number(name string) float64 {
+	v, ok := r.lookup(name)
+	if !ok {
+		return 0
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		r.fail(name, v, "a number")
+		return 0
+	}
+	return x
+}
+
+// ms reads an optional time in milliseconds.
+func (r *reader) ms(name string) time.Duration { return fromMS(r.number(name)) }
+
+// flag reads an optional bool.
+func (r *reader) flag(name string) bool {
+	v, ok := r.lookup(name)
+	if ok && v != "0" && v != "1" {
+		r.fail(name, v, "0 or 1")
+	}
+	return v == "1"
+}
+
+// row reads an optional load report.
+func (r *reader) row(name string) []float64 {
+	v, ok := r.lookup(name)
+	if !ok || v == "" {
+		return nil
+	}
+	var out []float64
+	for part := range strings.SplitSeq(v, ",") {
+		x, err := strconv.ParseFloat(part, 64)
+		if err != nil {
+			r.fail(name, v, "numbers set apart by commas")
+			return nil
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// maxMS keeps a time within what a Duration can hold.
+const maxMS = 1e12
+
+func fromMS(ms float64) time.Duration {
+	ms = math.Min(math.Max(ms, -maxMS), maxMS)
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+func appendMS(dst []byte, d time.Duration) []byte {
+	return strconv.AppendFloat(dst, float64(d)/float64(time.Millisecond), 'f', 3, 64)
+}
+
+var results = map[string]policy.Result{
+	"served": policy.Served, "server_error": policy.Errored, "turned_away": policy.TurnedAway,
+	"no_answer": policy.NoAnswer, "no_connection": policy.NoConnection,
+	"connection_lost": policy.ConnectionLost, "called_off": policy.CalledOff, "not_sent": policy.NotSent,
+}
+
+func (r *reader) result() policy.Result {
+	v := r.text("ending")
+	res, ok := results[v]
+	if !ok {
+		r.fail("ending", v, "an outcome")
+	}
+	return res
+}
+
+func (r *reader) endpoint() policy.Endpoint {
+	e := policy.Endpoint{
+		ID:      policy.EndpointID(r.id("endpoint")),
+		Kind:    r.integer("machine"),
+		Zone:    r.integer("region_part"),
+		Cell:    r.integer("group"),
+		Started: r.ms("start_time_ms"),
+		Nominal: r.number("nominal"),
+	}
+	switch v, ok := r.lookup("readiness"); {
+	case !ok || v == "IN":
+	case v == "LAME":
+		e.Readiness = policy.Draining
+	case v == "OUT":
+		e.Readiness = policy.Gone
+	default:
+		r.fail("readiness", v, "IN, LAME or OUT")
+	}
+	return e
+}
+
+// Settings is what the settings object holds for those that host the module:
+// the module's own part, and what real sockets need besides.
+type Settings struct {
+	Policy         policy.Settings
+	Classes        []string // names, by position
+	Tenants        []string
+	Kinds          []string
+	Zones          []string
+	Report         []string // fields of a load report
+	ConnectTimeout time.Duration
+}
+
+// named is an element of a list that the settings refer to by position.
+type named struct {
+	Name string `json:"name"`
+}
+
+// options is the part of the settings that is made use of.
+type options struct {
+	Classes []struct {
+		named
+		Aim    float64 `json:"aim_ms"`
+		Limit  float64 `json:"hard_limit_ms"`
+		Effect string  `json:"effect"`
+		Scope  string  `json:"key_scope"`
+		Window float64 `json:"dedup_window_ms"`
+		Worth  float64 `json:"worth"`
+		Late   float64 `json:"late_worth"`
+	} `json:"classes"`
+	Tenants []struct {
+		named
+		Share float64 `json:"share"`
+	} `json:"tenants"`
+	Kinds     []string `json:"kinds"`
+	Zones     []string `json:"azs"`
+	FleetSize int      `json:"fleet_size"`
+	Zone      int      `json:"zone"`
+	Discovery string   `json:"discovery"`
+	WorthBy   string   `json:"worth_by"`
+	Domain    struct {
+		WarmKeys bool `json:"warm_keys"`
+	} `json:"domain"`
+	Limits struct {
+		Cancelling     bool    `json:"cancelling"`
+		MayProbe       bool    `json:"may_probe"`
+		SecondCopies   bool    `json:"second_copies"`
+		SendCap        int     `json:"send_cap"`
+		ConnIdle       float64 `json:"conn_idle_ms"`
+		ConnectTimeout float64 `json:"connect_timeout_ms"`
+	} `json:"limits"`
+	Penalties struct {
+		CrossZone float64 `json:"cross_zone"`
+		Probe     float64 `json:"probe"`
+		Conn      float64 `json:"connection"`
+	} `json:"penalties"`
+	Report struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Rules struct {
+		AskWithin     float64 `json:"ask_within_ms"`
+		StartCapacity float64 `json:"start_capacity"`
+		Cold          float64 `json:"cold_ms"`
+	} `json:"rules"`
+}
+
+var (
+	effects = map[string]policy.Effect{"read_like": policy.Repeatable, "idempotency_key": policy.Keyed, "non_idempotent": policy.Unsafe}
+	scopes  = map[string]policy.Scope{"": policy.ScopeAll, "all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
+	fields  = map[string]policy.Field{"rif": policy.FieldInFlight, "q": policy.FieldQueue, "rate": policy.FieldRate}
+)
+
+// unknown stands for a name the module has no value for; New refuses it.
+const unknown = 255
+
+func lookup[T ~uint8](table map[string]T, name string) T {
+	if v, ok := table[name]; ok {
+		return v
+	}
+	return unknown
+}
+
+// DecodeSettings reads the settings object; what is unknown is skipped.
+func DecodeSettings(text []byte) (Settings, error) {
+	var o options
+	if err := json.Unmarshal(text, &o); err != nil {
+		return Settings{}, fmt.Errorf("options: %w", err)
+	}
+	p := policy.Settings{
+		FleetSize: o.FleetSize, Zone: o.Zone,
+		OnRequest: o.Discovery == "on_request", AskWithin: fromMS(o.Rules.AskWithin),
+		ColdTime: fromMS(o.Rules.Cold), StartCapacity: o.Rules.StartCapacity,
+		MaxAttempts: o.Limits.SendCap, SecondCopies: o.Limits.SecondCopies,
+		Cancel: o.Limits.Cancelling, MayProbe: o.Limits.MayProbe,
+		ConnIdle: fromMS(o.Limits.ConnIdle), WarmKeys: o.Domain.WarmKeys, WorthByWork: o.WorthBy == "work",
+		Prices: policy.Prices{CrossZone: o.Penalties.CrossZone, Probe: o.Penalties.Probe, Connection: o.Penalties.Conn},
+	}
+	s := Settings{
+		Kinds: o.Kinds, Zones: o.Zones, Report: o.Report.Fields,
+		ConnectTimeout: fromMS(o.Limits.ConnectTimeout),
+	}
+	for _, c := range o.Classes {
+		s.Classes = append(s.Classes, c.Name)
+		p.Classes = append(p.Classes, policy.Class{
+			Aim: fromMS(c.Aim), Deadline: fromMS(c.Limit),
+			Effect: lookup(effects, c.Effect), Scope: lookup(scopes, c.Scope),
+			DedupWindow: fromMS(c.Window), Worth: c.Worth, LateWorth: c.Late,
+		})
+	}
+	for _, t := range o.Tenants {
+		s.Tenants = append(s.Tenants, t.Name)
+		p.Tenants = append(p.Tenants, policy.Tenant{Share: t.Share})
+	}
+	for _, f := range o.Report.Fields {
+		p.Report = append(p.Report, fields[f])
+	}
+	s.Policy = p
+	return s, nil
+}
+
+// appendAction writes one action as a line.
+func appendAction(dst []byte, a policy.Action) []byte {
+	num := func(name string, n uint32) {
+		dst = append(append(append(dst, '\t'), name...), '=')
+		dst = strconv.AppendUint(dst, uint64(n), 10)
+	}
+	span := func(name string, d time.Duration) {
+		dst = append(append(append(dst, '\t'), name...), '=')
+		dst = appendMS(dst, d)
+	}
+	switch a := a.(type) {
+	case policy.Send:
+		dst = append(dst, "relay"...)
+		num("xid", uint32(a.Request))
+		span("cap_ms", a.Timeout)
+		num("endpoint", uint32(a.Endpoint))
+	case policy.Refuse:
+		dst = append(dst, "bounce"...)
+		num("xid", uint32(a.Request))
+	case policy.Fail:
+		dst = append(dst, "lose"...)
+		num("xid", uint32(a.Request))
+	case policy.Cancel:
+		dst = append(dst, "call_off"...)
+		num("xid", uint32(a.Request))
+		num("shot", uint32(a.Attempt))
+	case policy.Probe:
+		dst = append(dst, "health_check"...)
+		num("endpoint", uint32(a.Endpoint))
+	case policy.SetTimer:
+		dst = append(dst, "notify_me\ttoken="...)
+		dst = strconv.AppendUint(dst, uint64(a.Token.Purpose), 10)
+		dst = append(dst, '.')
+		dst = strconv.AppendUint(dst, uint64(a.Token.Request), 10)
+		span("in_ms", max(a.In, 0))
+	case policy.Subscribe:
+		dst = append(dst, "keep_informed\tenable=1"...)
+	default:
+		panic(fmt.Sprintf("wire: no line for %T", a))
+	}
+	return append(dst, '\n')
+}
+
+func parseToken(text string) (policy.Token, error) {
+	purpose, req, ok := strings.Cut(text, ".")
+	p, err1 := strconv.ParseUint(purpose, 10, 8)
+	q, err2 := strconv.ParseUint(req, 10, 32)
+	if !ok || err1 != nil || err2 != nil {
+		return policy.Token{}, fmt.Errorf("timeout_fired: token=%q was never set", text)
+	}
+	return policy.Token{Purpose: uint8(p), Request: policy.RequestID(q)}, nil
+}
--- /dev/null
+++ b/internal/wire/host.go
@@ -0,0 +1,306 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"ploverusher/policy"
+)
+
+// host runs the instances of one process. What it keeps across instances is
+// the registered lists, which are input and never changed.
+type host struct {
+	in        *bufio.Reader
+	out       *bufio.Writer
+	line      int
+	now       time.Duration
+	lists     map[int][]policy.Endpoint
+	instances map[uint32]*instance
+	current   *instance
+	who       uint32
+	reply     []byte
+	by        int64 // instance the reply's last `by` named; -1: none
+	fields    []field
+}
+
+type instance struct {
+	balancer *policy.Balancer
+	failed   bool // declared a fault
+}
+
+// Serve answers batches until the end of input. An error names the line.
+func Serve(in io.Reader, out io.Writer) error {
+	h := &host{
+		in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18),
+		lists: map[int][]policy.Endpoint{}, instances: map[uint32]*instance{},
+	}
+	for {
+		err := h.batch()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("line %d: %w", h.line, err)
+		}
+	}
+}
+
+// next reads a line that is not empty; io.EOF only at a clean end.
+func (h *host) next() (string, error) {
+	for {
+		line, err := h.in.ReadString('\n')
+		if err != nil && line == "" {
+			return "", err
+		}
+		h.line++
+		if line = strings.TrimRight(line, "\r\n"); line != "" {
+			return line, nil
+		}
+	}
+}
+
+// batch answers one batch; io.EOF tells that there is none.
+func (h *host) batch() error {
+	line, err := h.next()
+	if err != nil {
+		return err
+	}
+	m, err := parse(line, h.fields)
+	if err != nil {
+		return err
+	}
+	if m.name != "tick" {
+		return fmt.Errorf("%q outside a batch", m.name)
+	}
+	r := reader{m: m}
+	r.text("sim_time_ms")
+	h.now = r.ms("sim_time_ms")
+	if r.err != nil {
+		return r.err
+	}
+	h.reply, h.by, h.current = h.reply[:0], -1, nil
+	for {
+		line, err := h.next()
+		if err != nil {
+			return fmt.Errorf("input ends inside a batch")
+		}
+		if line == "eof_batch" || strings.HasPrefix(line, "eof_batch\t") {
+			break
+		}
+		if err := h.event(line); err != nil {
+			return err
+		}
+	}
+	h.reply = append(h.reply, "ok\n"...)
+	if _, err := h.out.Write(h.reply); err != nil {
+		return fmt.Errorf("reply: %v", err)
+	}
+	return h.out.Flush()
+}
+
+// event handles one line inside a batch.
+func (h *host) event(line string) error {
+	m, err := parse(line, h.fields)
+	if err != nil {
+		return err
+	}
+	h.fields = m.fields
+	r := &reader{m: m}
+	switch m.name {
+	case "instance":
+		h.who = r.id("who")
+		h.current = h.instances[h.who]
+		return r.err
+	case "register":
+		return h.register(r)
+	case "hello":
+		return h.hello(r)
+	}
+	call, err := h.decode(r)
+	if err != nil || call == nil {
+		return err
+	}
+	if h.current == nil {
+		return fmt.Errorf("%s for instance %d, which was not started", m.name, h.who)
+	}
+	if m.name == "detach" {
+		delete(h.instances, h.who)
+		h.current = nil
+		return nil
+	}
+	if !h.current.failed {
+		h.run(call)
+	}
+	return nil
+}
+
+// run makes one call on the current instance and writes its actions. A panic
+// in the module becomes a fault.
+func (h *host) run(call func(*policy.Balancer) []policy.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.fault(fmt.Sprint(p))
+		}
+	}()
+	for _, a := range call(h.current.balancer) {
+		h.speak()
+		h.reply = appendAction(h.reply, a)
+	}
+}
+
+// speak names the current instance in the reply, where it changed.
+func (h *host) speak() {
+	if h.by == int64(h.who) {
+		return
+	}
+	h.by = int64(h.who)
+	h.reply = append(h.reply, "by\twho="...)
+	h.reply = strconv.AppendUint(h.reply, uint64(h.who), 10)
+	h.reply = append(h.reply, '\n')
+}
+
+func (h *host) fault(text string) {
+	h.speak()
+	h.reply = append(h.reply, "fault\ttext="...)
+	h.reply = append(h.reply, strings.Map(printable, text)...)
+	h.reply = append(h.reply, '\n')
+	h.current.failed = true
+}
+
+func printable(c rune) rune {
+	if c < ' ' {
+		return ' '
+	}
+	return c
+}
+
+func (h *host) hello(r *reader) error {
+	seed, err := strconv.ParseInt(r.text("init_seed"), 10, 64)
+	if r.err != nil {
+		return r.err
+	}
+	if err != nil {
+		return fmt.Errorf("hello: init_seed is not a number")
+	}
+	set, err := DecodeSettings([]byte(r.text("options")))
+	if r.err != nil {
+		return r.err
+	}
+	if err != nil {
+		return err
+	}
+	h.current = &instance{}
+	h.instances[h.who] = h.current
+	if h.current.balancer, err = policy.New(set.Policy, uint64(seed)); err != nil {
+		h.fault(err.Error())
+	}
+	return nil
+}
+
+// register reads the numbered list that follows the line.
+func (h *host) register(r *reader) error {
+	set, n := int(r.id("set_id")), r.integer("items")
+	if r.err != nil {
+		return r.err
+	}
+	var list []policy.Endpoint
+	for range n {
+		line, err := h.next()
+		if err != nil {
+			return fmt.Errorf("input ends inside a list")
+		}
+		m, err := parse(line, h.fields)
+		if err != nil {
+			return err
+		}
+		h.fields = m.fields
+		if m.name != "endpoint" {
+			return fmt.Errorf("%q inside a list of %d entries", m.name, n)
+		}
+		entry := reader{m: m}
+		list = append(list, entry.endpoint())
+		if entry.err != nil {
+			return entry.err
+		}
+	}
+	h.lists[set] = list
+	return nil
+}
+
+// decode turns an event into the call it stands for; nil for a message that
+// is not known.
+func (h *host) decode(r *reader) (func(*policy.Balancer) []policy.Action, error) {
+	now := h.now
+	var call func(*policy.Balancer) []policy.Action
+	switch r.m.name {
+	case "detach":
+		call = func(*policy.Balancer) []policy.Action { return nil }
+	case "announce":
+		return h.announce(r)
+	case "job_in":
+		q := policy.Request{
+			ID: policy.RequestID(r.id("xid")), Class: r.integer("tier_class"), Tenant: r.integer("party"),
+			Left: r.ms("left_ms"),
+		}
+		q.Key, _ = r.lookup("object")
+		if r.integer("attrs")&1 != 0 {
+			q.Cost = r.number("predicted_ms") / 1000
+		}
+		call = func(b *policy.Balancer) []policy.Action { return b.Request(now, q) }
+	case "vanished":
+		id := policy.RequestID(r.id("xid"))
+		call = func(b *policy.Balancer) []policy.Action { return b.Gone(now, id) }
+	case "result":
+		o := policy.Outcome{
+			Request: policy.RequestID(r.id("xid")), Attempt: r.integer("shot"), Endpoint: policy.EndpointID(r.id("endpoint")),
+			Result: r.result(), Complete: r.flag("complete"), Elapsed: r.ms("elapsed_ms"),
+		}
+		call = func(b *policy.Balancer) []policy.Action { return b.Outcome(now, o) }
+	case "streaming":
+		id, n := policy.RequestID(r.id("xid")), r.integer("shot")
+		call = func(b *policy.Balancer) []policy.Action { return b.StreamStarted(now, id, n) }
+	case "checked":
+		p := policy.ProbeResult{
+			Endpoint: policy.EndpointID(r.id("endpoint")), Result: r.result(),
+			Elapsed: r.ms("elapsed_ms"), Report: r.row("usage"),
+		}
+		call = func(b *policy.Balancer) []policy.Action { return b.Probed(now, p) }
+	case "timeout_fired":
+		text := r.text("token")
+		if r.err != nil {
+			return nil, r.err
+		}
+		t, err := parseToken(text)
+		if err != nil {
+			return nil, err
+		}
+		call = func(b *policy.Balancer) []policy.Action { return b.Timer(now, t) }
+	}
+	return call, r.err
+}
+
+func (h *host) announce(r *reader) (func(*policy.Balancer) []policy.Action, error) {
+	now := h.now
+	how := r.text("how")
+	if r.err != nil {
+		return nil, r.err
+	}
+	switch how {
+	case "FAILED":
+		return func(b *policy.Balancer) []policy.Action { return b.DiscoveryFailed(now) }, nil
+	case "FULL", "SAVED", "INCREMENTAL":
+		set := int(r.id("set_id"))
+		list, ok := h.lists[set]
+		if r.err == nil && !ok {
+			r.err = fmt.Errorf("announce: list %d was not registered", set)
+		}
+		whole := how != "INCREMENTAL"
+		return func(b *policy.Balancer) []policy.Action { return b.Endpoints(now, list, whole) }, r.err
+	}
+	return nil, fmt.Errorf("announce: how=%q is not known", how)
+}
--- /dev/null
+++ b/policy/admission.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	retryPerRequest = 0.2              // retry budget: extra attempts earned by a request
+	retryBurst      = 5.0              // extra attempts that may be saved up
+	pressureMemory  = 4.0              // outcomes looked back over: few, as a client sees about one a second
+	pressureFade    = 12 * time.Second // forgetting, so that a client that refuses all tries again
+	pressureFree    = 0.5              // up to here a late outcome may be one slow server's
+	lateCuts        = 0.8              // of the admitted part after a late outcome under pressure
+	timelyGives     = 0.02             // of all, given back by one in time
+	leastAdmitted   = 0.1              // without attempts nothing is learnt
+)
+
+// admission decides what is refused early: pressure is the part of the recent
+// attempts that came too late, level the part of the requests that is admitted.
+type admission struct {
+	pressure, level float64
+	updated         time.Duration
+	retries         float64
+	tenants         []mean // part of the own traffic
+	worth           mean   // of a request
+}
+
+// outcome takes one finished attempt into pressure and level.
+func (a *admission) outcome(now time.Duration, late bool) {
+	a.fade(now)
+	a.pressure -= a.pressure / pressureMemory
+	if late {
+		a.pressure += 1 / pressureMemory
+	}
+	switch {
+	case late && a.pressure > pressureFree:
+		a.level = math.Max(a.level*lateCuts, leastAdmitted)
+	case !late:
+		a.level = math.Min(a.level+timelyGives, 1)
+	}
+}
+
+func (a *admission) fade(now time.Duration) {
+	keep := math.Exp(-(now - a.updated).Seconds() / pressureFade.Seconds())
+	a.pressure, a.level, a.updated = a.pressure*keep, 1-(1-a.level)*keep, now
+}
+
+// admit decides whether a request is tried at all. What is worth less for its
+// work, or usual answer time, and tenants over their share, go first.
+func (b *Balancer) admit(r *request) bool {
+	a := &b.adm
+	a.fade(b.now)
+	a.retries = math.Min(a.retries+retryPerRequest, retryBurst)
+	over := 0.0 // how far the tenant's part exceeds its share, as a ratio
+	for i, t := range b.set.Tenants {
+		if a.tenants[i].add(indicator(i == r.Tenant), sampleMemory); i == r.Tenant && t.Share > 0 {
+			over = math.Max(0, a.tenants[i].value/t.Share-1)
+		}
+	}
+	w := b.set.Classes[r.Class].Worth
+	if !b.set.WorthByWork {
+		w /= b.expected(r)
+	}
+	if usable(w) {
+		a.worth.add(w, sampleMemory)
+		return b.random() < math.Pow(a.level, (1+over)*a.worth.value/w)
+	}
+	return b.random() < math.Pow(a.level, 1+over)
+}
--- /dev/null
+++ b/policy/balancer.go
@@ -0,0 +1,152 @@
+// Package policy makes the decisions of a load balancer that runs as one
+// instance beside every client process. It is pure: time and seed come in
+// with the calls, actions go out as values, and instances share nothing.
+//
+// The ordinary path is HALO's power-of-two variant: Eq. (4) splits the load
+// over the kinds of server, two servers are drawn by that split, and the
+// request goes to the one with fewer in flight.
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Token comes back with the timer that it was set with.
+type Token struct {
+	Purpose uint8
+	Request RequestID
+}
+
+const (
+	timerSubscribe uint8 = iota
+	timerHold
+	timerLate
+)
+
+// Action is what the host carries out, in order: one of the types below.
+type Action any
+
+type (
+	// Send starts an attempt that is given up after Timeout.
+	Send struct {
+		Request  RequestID
+		Endpoint EndpointID
+		Timeout  time.Duration
+	}
+	// Refuse ends a request and promises that a retry is harmless.
+	Refuse struct{ Request RequestID }
+	// Fail ends a request without a promise.
+	Fail struct{ Request RequestID }
+	// Cancel calls off one attempt.
+	Cancel struct {
+		Request RequestID
+		Attempt int
+	}
+	// Probe asks an endpoint for its load report.
+	Probe struct{ Endpoint EndpointID }
+	// SetTimer asks for Balancer.Timer after In.
+	SetTimer struct {
+		Token Token
+		In    time.Duration
+	}
+	// Subscribe asks discovery for changes from now on.
+	Subscribe struct{}
+)
+
+// Balancer is one instance, for one goroutine. Actions are valid until the next call.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	actions  []Action
+	fleet    fleet
+	requests map[RequestID]*request
+	waiting  []*request    // held until their pair is probed
+	times    []classTime   // by class
+	gap      mean          // between arrivals, s
+	lastIn   time.Duration // latest arrival
+	keys     keyCounts
+	home     uint64 // key of the servers this client keeps connections to
+	adm      admission
+	backoff  time.Duration // of discovery calls
+	calling  bool          // a timer for the next discovery call is set
+	begun    bool
+}
+
+// New makes an instance. The error names the setting that can't be used.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.validate(); err != nil {
+		return nil, err
+	}
+	return &Balancer{
+		set:      set,
+		rng:      rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		fleet:    newFleet(&set),
+		requests: map[RequestID]*request{},
+		times:    make([]classTime, len(set.Classes)),
+		keys:     keyCounts{counts: map[uint64]float64{}},
+		adm:      admission{level: 1, retries: retryBurst, tenants: make([]mean, len(set.Tenants))},
+	}, nil
+}
+
+// begin opens an event: the clock is set and the last actions are dropped.
+func (b *Balancer) begin(now time.Duration) {
+	b.now = now
+	b.actions = b.actions[:0]
+	if !b.begun {
+		b.begun = true
+		b.lastIn, b.adm.updated, b.home = now, now, b.rng.Uint64()
+		b.planSubscribe(b.random() * float64(b.set.AskWithin) * subscribeSpread)
+	}
+}
+
+func (b *Balancer) do(a Action) { b.actions = append(b.actions, a) }
+
+func (b *Balancer) random() float64 { return b.rng.Float64() }
+
+// Endpoints takes a listing from discovery: the whole list, or only changes.
+func (b *Balancer) Endpoints(now time.Duration, list []Endpoint, whole bool) []Action {
+	b.begin(now)
+	b.backoff = 0
+	b.fleet.update(list, whole, b.random)
+	return b.actions
+}
+
+// Timer tells that a timer is due.
+func (b *Balancer) Timer(now time.Duration, t Token) []Action {
+	b.begin(now)
+	switch {
+	case t.Purpose == timerSubscribe && b.calling:
+		b.calling = false
+		b.do(Subscribe{})
+	case t.Purpose == timerHold:
+		if r := b.requests[t.Request]; r != nil && r.held {
+			b.release(r)
+		}
+	case t.Purpose == timerLate:
+		b.overdue(b.requests[t.Request])
+	}
+	return b.actions
+}
+
+// refresh brings the draw table up to date for a class.
+func (b *Balancer) refresh(class int) {
+	b.fleet.refresh(b.now, &b.set, class, b.fleetRate(), b.random)
+}
+
+// fleetRate is λ in servers of speed 1 and one core: it errs towards proportional.
+func (b *Balancer) fleetRate() float64 {
+	return float64(b.set.FleetSize) * b.meanTime() / b.gap.value // not usable before the first gap
+}
+
+// meanTime is the usual answer time over the classes seen, in seconds.
+func (b *Balancer) meanTime() float64 {
+	var sum, n float64
+	for i := range b.times {
+		sum += b.times[i].per * b.times[i].work.value * b.times[i].n
+		n += b.times[i].n
+	}
+	return sum / math.Max(n, 1)
+}
--- /dev/null
+++ b/policy/discovery.go
@@ -0,0 +1,25 @@
+package policy
+
+import "time"
+
+const (
+	subscribeSpread = 0.6                    // part of AskWithin over which clients that start together call
+	firstBackoff    = 500 * time.Millisecond // wait before a failed call is repeated; doubles, with jitter,
+	longestBackoff  = 8 * time.Second        // up to this
+)
+
+// planSubscribe sets the next call: a fleet that asks at once is turned away.
+func (b *Balancer) planSubscribe(in float64) {
+	if b.set.OnRequest && !b.calling {
+		b.calling = true
+		b.do(SetTimer{Token: Token{Purpose: timerSubscribe}, In: time.Duration(in)})
+	}
+}
+
+// DiscoveryFailed tells that a call failed or the subscription broke.
+func (b *Balancer) DiscoveryFailed(now time.Duration) []Action {
+	b.begin(now)
+	b.backoff = min(max(2*b.backoff, firstBackoff), longestBackoff)
+	b.planSubscribe((0.5 + b.random()) * float64(b.backoff))
+	return b.actions
+}
--- /dev/null
+++ b/policy/fleet.go
@@ -0,0 +1,295 @@
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// EndpointID names an endpoint. It tells nothing of kind, zone or age.
+type EndpointID uint32
+
+// Readiness is what discovery says of an endpoint.
+type Readiness uint8
+
+const (
+	Ready Readiness = iota
+	Draining
+	Gone
+)
+
+// Endpoint is one entry of a listing.
+type Endpoint struct {
+	ID        EndpointID
+	Kind      int
+	Zone      int
+	Cell      int
+	Readiness Readiness
+	Started   time.Duration // clock time of the latest start; 0: long ago
+	Nominal   float64       // size against other endpoints; 0: not told
+}
+
+const (
+	solvePeriod     = time.Second           // mean time between solutions of Eq. (4): short against a cold ramp
+	failureKeeps    = 0.1                   // of health after one failure: a sparse client can't wait for a second
+	successHeals    = 0.3                   // part of the lost health an answer gives back
+	healthRecovery  = 20 * time.Second      // time constant with which an ejected endpoint comes back
+	leastMeanHealth = 0.6                   // keeps mass ejection from emptying the fleet
+	maxKind         = 63                    // bounds the kinds told apart, against a listing gone wrong
+	reportFresh     = 50 * time.Millisecond // a load report speaks for its server about a service time
+	zoneSlack       = 1.5                   // times as busy a near endpoint may be as the far one drawn with it
+	redraws         = 3                     // repeats of a second draw equal to the first
+	cheapCrossing   = 0.015                 // price of a crossing up to which the less busy endpoint is worth more than a near one
+)
+
+// server is what this client knows of one endpoint.
+type server struct {
+	Endpoint
+	inFlight int
+	health   float64 // right after the latest outcome; recovers with time
+	judged   time.Duration
+	weight   float64 // w in [0,1]: readiness, cold ramp and health
+	chance   float64 // of one draw: w * p_i*/k_i
+	listed   bool
+	rank     float64 // scratch of chooseByKey
+	probing  bool    // a probe is out
+	load     float64 // requests in flight or waiting, as reported
+	credit   float64 // part of an attempt that it is due while cold
+	seen     float64 // fleet.parts when credit was counted
+	rate     float64 // requests served per second, as reported; 0: not told
+	loadAt   time.Duration
+}
+
+// fleet is the membership with its weights, kind split and draw table.
+type fleet struct {
+	byID           map[EndpointID]*server
+	servers        []*server // by ID, so that equal events give equal draws
+	kinds          []kindSpeed
+	share          []float64 // p_i*, the solution of Eq. (4)
+	table          []*server // servers with a chance, in order
+	ranked         []*server // scratch of chooseByKey
+	upTo           []float64 // their cumulative chances
+	stale          bool      // membership or health changed since the table was built
+	solveAt        time.Duration
+	crossing       bool              // crossing zones has a price
+	zone           int               // of the client
+	classes, class int               // how many; that of share and table
+	served         mean              // part of the attempts that were served
+	parts          float64           // attempts due to each endpoint so far
+	cells          [maxKind + 1]mean // log of answer times over those of their kinds
+}
+
+func newFleet(set *Settings) fleet {
+	return fleet{byID: map[EndpointID]*server{}, stale: true, served: mean{1, 1}, zone: set.Zone, classes: len(set.Classes), crossing: set.Prices.CrossZone > cheapCrossing}
+}
+
+// update applies a listing; the gone are forgotten once nothing is in flight.
+func (f *fleet) update(list []Endpoint, whole bool, random func() float64) {
+	if whole {
+		for _, s := range f.servers {
+			s.listed = false
+		}
+	}
+	for _, e := range list {
+		e.Kind = min(max(e.Kind, 0), maxKind)
+		s := f.byID[e.ID]
+		if s == nil {
+			s = &server{health: 1, loadAt: -reportFresh - 1, credit: random(), seen: f.parts}
+			f.byID[e.ID] = s
+			f.servers = append(f.servers, s)
+		} else if e.Started != s.Started {
+			s.health = 1 // a new process owes nothing for the old one's faults
+		}
+		s.Endpoint = e
+		s.listed = e.Readiness != Gone
+	}
+	f.servers = slices.DeleteFunc(f.servers, func(s *server) bool {
+		if s.listed || s.inFlight > 0 {
+			return false
+		}
+		delete(f.byID, s.ID)
+		s.chance = 0 // a request may still hold it in its drawn pair
+		return true
+	})
+	slices.SortFunc(f.servers, func(a, b *server) int { return int(int64(a.ID) - int64(b.ID)) })
+	f.growKinds()
+	f.stale = true
+}
+
+// growKinds makes room for the kinds listed, with mean nominal sizes as priors.
+func (f *fleet) growKinds() {
+	sizes := make([]mean, maxKind+1)
+	for _, s := range f.servers {
+		for len(f.kinds) <= s.Kind {
+			f.kinds = append(f.kinds, kindSpeed{prior: 1, fit: make([]mean, f.classes)})
+		}
+		if usable(s.Nominal) {
+			sizes[s.Kind].add(s.Nominal, math.Inf(1))
+			f.kinds[s.Kind].prior = sizes[s.Kind].value
+		}
+	}
+}
+
+// observe takes the outcome of an attempt into the endpoint's health.
+func (f *fleet) observe(s *server, now time.Duration, failed bool) {
+	h := s.healthAt(now)
+	if s.health = h + (1-h)*successHeals; failed {
+		s.health = h * failureKeeps
+	}
+	s.judged = now
+	f.stale = f.stale || failed || h < 1
+}
+
+// healthAt is the health now: what the latest outcome left, recovering.
+func (s *server) healthAt(now time.Duration) float64 {
+	if s.health >= 0.99 {
+		return 1
+	}
+	return 1 - (1-s.health)*math.Exp(-(now-s.judged).Seconds()/healthRecovery.Seconds())
+}
+
+// warmth is the share of its capacity an endpoint is sure to have by now.
+func (s *server) warmth(now time.Duration, set *Settings) float64 {
+	age := now - s.Started
+	if s.Started <= 0 || age >= set.ColdTime {
+		return 1
+	}
+	return set.StartCapacity + (1-set.StartCapacity)*math.Max(0, age.Seconds()/set.ColdTime.Seconds())
+}
+
+// refresh rebuilds weights, split and draw table for a class where due.
+func (f *fleet) refresh(now time.Duration, set *Settings, class int, rate float64, jitter func() float64) {
+	if now < f.solveAt && !f.stale && class == f.class {
+		return
+	}
+	k := f.weigh(now, set)
+	mu := make([]float64, len(f.kinds))
+	for i := range mu {
+		mu[i] = f.kinds[i].at(class)
+	}
+	f.solveAt = now + time.Duration(float64(solvePeriod)*(0.5+jitter()))
+	f.class, f.stale = class, false
+	f.share = splitKinds(k, mu, rate)
+	f.tabulate(k)
+}
+
+// weigh sets every endpoint's weight and returns k_i, their sum by kind.
+func (f *fleet) weigh(now time.Duration, set *Settings) []float64 {
+	var health mean
+	for _, s := range f.servers {
+		if s.usable() {
+			health.add(s.healthAt(now), math.Inf(1))
+		}
+	}
+	// Failure answered: ejecting much of the fleet at once pushes the rest over.
+	lift := math.Max(0, (leastMeanHealth-health.value)/(1-health.value))
+	k := make([]float64, len(f.kinds))
+	for _, s := range f.servers {
+		s.weight = 0
+		if s.usable() {
+			h, warm := s.healthAt(now), s.warmth(now, set)
+			// Failure answered: what a cell shares may run short for all of it.
+			cell := math.Min(math.Exp(-f.cells[s.Cell&maxKind].shrunk()), 1)
+			s.weight = (h + (1-h)*lift) * warm * warm * cell
+			k[s.Kind] += s.weight
+		}
+	}
+	return k
+}
+
+// spared reports whether a cold endpoint is passed over. Failure answered: in a
+// release under overload the cold ones were sent several times what they can do.
+func (f *fleet) spared(s *server, now time.Duration, set *Settings) bool {
+	warm := s.warmth(now, set)
+	s.credit, s.seen = math.Min(s.credit+(f.parts-s.seen)*warm, 1), f.parts
+	return warm < 1 && s.credit < 1
+}
+
+// usable reports whether new requests may go to the server.
+func (s *server) usable() bool { return s.listed && s.Readiness == Ready }
+
+// tabulate lays out the chances w * p_i*/k_i for drawing.
+func (f *fleet) tabulate(k []float64) {
+	f.table, f.upTo = f.table[:0], f.upTo[:0]
+	sum := 0.0
+	for _, s := range f.servers {
+		s.chance = s.weight * f.share[s.Kind] / math.Max(k[s.Kind], math.SmallestNonzeroFloat64)
+		if s.chance > 0 {
+			sum += s.chance
+			f.table, f.upTo = append(f.table, s), append(f.upTo, sum)
+		}
+	}
+}
+
+// choose is the two-choice draw among the servers that ok admits; b, or both,
+// are nil where there are not so many. near confines the first to the own zone.
+func (f *fleet) choose(random func() float64, near bool, ok func(*server) bool) (a, b *server) {
+	if near && f.crossing {
+		a = f.scan(random, func(s *server) bool { return s.Zone == f.zone && ok(s) })
+	}
+	if len(f.table) == 0 {
+		return nil, nil
+	}
+	for range 2 + redraws {
+		i, _ := slices.BinarySearch(f.upTo, random()*f.upTo[len(f.upTo)-1])
+		s := f.table[min(i, len(f.table)-1)]
+		switch {
+		case !ok(s) || s == a:
+		case a == nil:
+			a = s
+		default:
+			return a, s
+		}
+	}
+	if a == nil {
+		a = f.scan(random, ok)
+	}
+	return a, f.scan(random, func(s *server) bool { return s != a && ok(s) })
+}
+
+// better takes the one of two drawn servers with fewer in flight, ties by group
+// probability. Fresh reports of both count in place of own requests, per speed.
+func (f *fleet) better(a, b *server, now time.Duration, random func() float64) *server {
+	la, lb := float64(a.inFlight), float64(b.inFlight)
+	if a.reported(now) && b.reported(now) {
+		la = (a.load + 1) / f.kinds[a.Kind].value()
+		lb = (b.load + 1) / f.kinds[b.Kind].value()
+	}
+	// Failure answered: queues that held the probes too were joined unseen.
+	switch {
+	case b.probing && !a.probing, a.reported(now) && !a.busy(now) && !b.reported(now):
+		return a // the other's probe is still out, or this one was idle
+	case a.probing && !b.probing:
+		return b
+	}
+	// Failure answered: most draws cross zones. Near ones win ties and small leads.
+	if f.crossing && a.Zone != f.zone && b.Zone == f.zone {
+		a, b, la, lb = b, a, lb, la
+	}
+	if f.crossing && a.Zone == f.zone && b.Zone != f.zone {
+		lb = lb*zoneSlack + math.SmallestNonzeroFloat32
+	}
+	if la < lb || la == lb && random()*(a.chance+b.chance) < a.chance {
+		return a
+	}
+	return b
+}
+
+func (s *server) reported(now time.Duration) bool {
+	return now-s.loadAt <= reportFresh
+}
+
+// scan draws among all fitting servers, where random draws rarely find one.
+func (f *fleet) scan(random func() float64, ok func(*server) bool) *server {
+	var pick *server
+	sum := 0.0
+	for _, s := range f.table {
+		if ok(s) {
+			sum += s.chance
+			if random()*sum < s.chance {
+				pick = s
+			}
+		}
+	}
+	return pick
+}
--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,647 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// ready gives a fleet of n servers with its draw table built at time now.
+func ready(t *testing.T, now time.Duration, list []Endpoint) *Balancer {
+	t.Helper()
+	b := start(t, settings())
+	b.Endpoints(now, list, true)
+	b.refresh(0)
+	return b
+}
+
+func any1(*server) bool { return true }
+
+func TestDrawFollowsTheSplit(t *testing.T) {
+	b := ready(t, ms, fleetOf(10))
+	b.fleet.kinds[0].prior, b.fleet.kinds[1].prior = 3, 1
+	b.fleet.stale = true
+	b.refresh(0) // unknown rate: proportional, 3 to 1
+	rng := rand.New(rand.NewPCG(3, 3))
+	hits := make([]float64, 2)
+	for range 40000 {
+		a, second := b.fleet.choose(rng.Float64, false, any1)
+		if a == second {
+			t.Fatal("the same server drawn twice")
+		}
+		hits[a.Kind]++
+	}
+	if part := hits[0] / 40000; math.Abs(part-0.75) > 0.01 {
+		t.Errorf("the fast kind was drawn for %.3f, want 0.75", part)
+	}
+}
+
+func TestFewerInFlightWinsTiesByProbability(t *testing.T) {
+	b := ready(t, ms, fleetOf(2))
+	f := &b.fleet
+	rng := rand.New(rand.NewPCG(3, 3))
+	x, y := f.servers[0], f.servers[1]
+	x.inFlight = 1
+	for range 50 {
+		if f.better(x, y, ms, rng.Float64) != y || f.better(y, x, ms, rng.Float64) != y {
+			t.Fatal("the busier server was taken")
+		}
+	}
+	x.inFlight, x.chance, y.chance = 0, 0.3, 0.1
+	won := 0
+	for range 20000 {
+		if f.better(x, y, ms, rng.Float64) == x {
+			won++
+		}
+	}
+	if part := float64(won) / 20000; math.Abs(part-0.75) > 0.02 {
+		t.Errorf("ties went to the likelier server for %.3f, want 0.75", part)
+	}
+}
+
+func TestFewServers(t *testing.T) {
+	b := ready(t, ms, fleetOf(1))
+	if a, second := b.fleet.choose(b.random, false, any1); a == nil || second != nil {
+		t.Error("one server: it alone is to be chosen")
+	}
+	if a, _ := b.fleet.choose(b.random, false, func(*server) bool { return false }); a != nil {
+		t.Error("no fitting server: none is to be chosen")
+	}
+	b = ready(t, ms, nil)
+	if a, _ := b.fleet.choose(b.random, false, any1); a != nil {
+		t.Error("no server: none is to be chosen")
+	}
+}
+
+func TestColdServerGetsItsGuaranteedPartAtMost(t *testing.T) {
+	now := time.Minute
+	list := fleetOf(4)
+	for i := range list {
+		list[i].Kind = 0
+	}
+	list[0].Started = now - 2*time.Second // of 20: capacity 0.28 or more
+	b := ready(t, now, list)
+	if w := b.fleet.byID[1].weight; w <= 0 || w > 0.28 {
+		t.Errorf("weight of a cold server: %v", w)
+	}
+	b.fleet.solveAt = 0
+	b.now = now + 20*time.Second
+	b.refresh(0)
+	if w := b.fleet.byID[1].weight; w != 1 {
+		t.Errorf("weight once warm: %v", w)
+	}
+}
+
+// Quick errors must not make a server look fast or keep its share.
+func TestQuickErrorsEject(t *testing.T) {
+	b := ready(t, ms, fleetOf(6))
+	for i := range 4 {
+		r := &request{Request: Request{Class: 0}}
+		a := &attempt{server: b.fleet.servers[0]}
+		b.now = time.Duration(i+2) * ms
+		b.learn(r, a, Outcome{Result: Errored, Elapsed: ms})
+	}
+	b.refresh(0)
+	bad, good := b.fleet.servers[0], b.fleet.servers[2]
+	if bad.chance > good.chance/10 {
+		t.Errorf("chance %v against %v of a healthy one", bad.chance, good.chance)
+	}
+	if n := b.fleet.kinds[0].slowness.weight; n != 0 {
+		t.Errorf("errors gave %v speed samples", n)
+	}
+	b.now += time.Minute
+	b.fleet.stale = true
+	b.refresh(0)
+	if bad.chance < good.chance*0.9 {
+		t.Error("the server does not come back with time")
+	}
+}
+
+// When everything fails, ejection must not empty the fleet or favour one.
+func TestMassEjectionKeepsTheFleet(t *testing.T) {
+	b := ready(t, ms, fleetOf(6))
+	for _, s := range b.fleet.servers[:5] {
+		for range 5 {
+			b.fleet.observe(s, ms, true)
+		}
+	}
+	b.refresh(0)
+	for _, s := range b.fleet.servers {
+		if s.weight < 0.3 {
+			t.Errorf("weight of %d is %v with most of the fleet failing", s.ID, s.weight)
+		}
+	}
+}
+
+func TestGoneServersAreForgotten(t *testing.T) {
+	b := ready(t, ms, fleetOf(50))
+	b.Endpoints(2*ms, fleetOf(2), true)
+	if len(b.fleet.servers) != 2 || len(b.fleet.byID) != 2 {
+		t.Errorf("%d servers are remembered", len(b.fleet.byID))
+	}
+}
+
+// Failure answered: a cell short of something shared kept its full part, since
+// a sparse client meets each of its servers too rarely to eject them.
+func TestSlowCellLosesWeight(t *testing.T) {
+	b := ready(t, ms, fleetOf(12)) // cells of three
+	b.times[0].per = 0.02
+	for i := range 24 {
+		s := b.fleet.servers[i%12]
+		took := 20 * ms
+		if s.Cell == 0 {
+			took = 80 * ms // in time, so health says nothing
+		}
+		b.learn(&request{Request: Request{Class: 0, Cost: 1}}, &attempt{server: s}, Outcome{Result: Served, Elapsed: took})
+		b.times[0].per = 0.02
+	}
+	b.fleet.stale = true
+	b.refresh(0)
+	slow, fine := b.fleet.servers[0].weight, b.fleet.servers[4].weight
+	if slow > fine*0.85 {
+		t.Errorf("weight %v in the slow cell, %v in another", slow, fine)
+	}
+}
+
+// Failure answered: a report of requests in flight without a rate passed for
+// any load, and queues of many seconds were joined.
+func TestLoadWithoutARateIsAQueue(t *testing.T) {
+	set := settings()
+	set.MayProbe, set.Report = true, []Field{FieldOther, FieldInFlight}
+	b := start(t, set)
+	b.Endpoints(ms, fleetOf(2), true)
+	b.times[0] = classTime{per: 0.02, n: 9, work: mean{1, 9}}
+	for i, load := range []float64{3, 40} {
+		id := RequestID(i + 1)
+		now := time.Duration(id) * time.Second
+		b.Request(now, Request{ID: id, Left: 200 * ms})
+		b.Probed(now, ProbeResult{Endpoint: 1, Report: []float64{0, load}})
+		got := b.Probed(now, ProbeResult{Endpoint: 2, Report: []float64{0, load}})
+		if refused := got[0] == (Refuse{id}); refused != (load == 40) {
+			t.Errorf("load %v: got %v", load, got)
+		}
+	}
+}
+
+// A key keeps its few servers, at every client; a hot key gets more.
+func TestKeyedDrawIsSharedAndSpread(t *testing.T) {
+	one, other := ready(t, ms, fleetOf(40)), ready(t, ms, fleetOf(40))
+	seen := func(b *Balancer, seed uint64, want int) map[EndpointID]bool {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		ids := map[EndpointID]bool{}
+		for range 200 {
+			x, y := b.fleet.chooseByKey(hashKey("k"), want, rng.Float64, any1)
+			if x == y {
+				t.Fatal("the same server drawn twice")
+			}
+			ids[x.ID] = true
+		}
+		return ids
+	}
+	a, b := seen(one, 1, 2), seen(other, 2, 2)
+	if len(a) != 2 || len(b) != 2 {
+		t.Fatalf("a cold key went to %d and %d servers, want 2", len(a), len(b))
+	}
+	for id := range a {
+		if !b[id] {
+			t.Error("two clients send the key to different servers")
+		}
+	}
+	if n := len(seen(one, 3, 8)); n != 8 {
+		t.Errorf("a hot key went to %d servers, want 8", n)
+	}
+}
+
+// Failure answered: kinds that are quick at different classes got every class
+// by the speed they have over all of them.
+func TestKindsThatRankDifferentlyByClass(t *testing.T) {
+	set := settings()
+	set.Classes = []Class{{Aim: 100 * ms, Deadline: time.Second}, {Aim: 100 * ms, Deadline: time.Second}}
+	b := start(t, set)
+	b.Endpoints(0, fleetOf(10), true)
+	right := 0
+	for i := range 600 {
+		now := time.Duration(i) * 100 * ms
+		for _, a := range b.Request(now, Request{ID: RequestID(i), Class: i % 2, Left: time.Second}) {
+			s, ok := a.(Send)
+			if !ok {
+				continue
+			}
+			took := 40 * ms
+			if b.fleet.byID[s.Endpoint].Kind == i%2 {
+				took = 20 * ms
+				right += min(i/300, 1)
+			}
+			b.Outcome(now+took, Outcome{Request: s.Request, Endpoint: s.Endpoint, Complete: true, Elapsed: took})
+		}
+	}
+	if right < 240 {
+		t.Errorf("%d of the last 300 requests went to the kind that is quick at them", right)
+	}
+}
+
+// Failures answered: one momentarily full queue drove clients off an endpoint
+// they had connections to, and counted as overload though another server took
+// the request. Only a request that no attempt found room for counts.
+func TestTurnedAwayIsNoFailure(t *testing.T) {
+	b := start(t, settings())
+	b.Endpoints(0, fleetOf(10), true)
+	b.adm.retries = -10 // attempts that never ran need no budget
+	actions, sends := b.Request(ms, Request{ID: 1, Left: time.Second}), 0
+	for len(actions) > 0 {
+		s, ok := actions[0].(Send)
+		if !ok {
+			break
+		}
+		if b.adm.pressure != 0 {
+			t.Errorf("pressure %v after %d full servers", b.adm.pressure, sends)
+		}
+		actions = b.Outcome(2*ms, Outcome{Request: 1, Attempt: sends, Endpoint: s.Endpoint, Result: TurnedAway, Elapsed: ms})
+		sends++
+		if h := b.fleet.byID[s.Endpoint].healthAt(2 * ms); h != 1 {
+			t.Errorf("health %v after being turned away", h)
+		}
+	}
+	if sends != 3 || b.adm.pressure == 0 {
+		t.Errorf("%d attempts, pressure %v, want 3 and above 0", sends, b.adm.pressure)
+	}
+}
+
+// Failures answered: keyed draws crossed zones for most requests and failed when
+// a zone was cut off; confined for good, they failed when the zone had no room.
+func TestKeyedDrawStartsNear(t *testing.T) {
+	set := settings()
+	set.WarmKeys, set.Prices.CrossZone = true, 0.1
+	b := start(t, set)
+	list := fleetOf(40)
+	for i := range list {
+		list[i].Zone = i % 4
+	}
+	b.Endpoints(0, list, true)
+	far := [3]int{}
+	for i := range 100 {
+		id := RequestID(i)
+		b.adm.pressure, b.adm.level = 0, 1 // calm
+		actions := b.Request(ms, Request{ID: id, Key: fmt.Sprint(i), Left: time.Second})
+		for n := 0; n < 3 && len(actions) > 0; n++ {
+			s, ok := actions[0].(Send)
+			if !ok {
+				t.Fatalf("request %d got %v", i, actions)
+			}
+			if b.fleet.byID[s.Endpoint].Zone != set.Zone {
+				far[n]++
+			}
+			actions = b.Outcome(ms, Outcome{Request: id, Attempt: n, Endpoint: s.Endpoint, Result: TurnedAway})
+		}
+	}
+	if far[0] > 0 || far[1] > 0 || far[2] < 20 {
+		t.Errorf("%v of 100 requests crossed at their three attempts, want none, none, some", far)
+	}
+}
+
+// Failure answered: probes wait in a server's queue, and a server whose probe was
+// still out passed for one with nothing in flight.
+func TestProbeStillOutLosesTheDraw(t *testing.T) {
+	for _, told := range []EndpointID{1, 2} {
+		set := settings()
+		set.MayProbe, set.Report = true, []Field{FieldRate, FieldInFlight}
+		b := start(t, set)
+		b.Endpoints(ms, fleetOf(2), true)
+		got := b.Request(ms, Request{ID: 1, Left: 200 * ms})
+		timer := got[len(got)-1].(SetTimer)
+		b.Probed(2*ms, ProbeResult{Endpoint: told, Report: []float64{100, 3}})
+		got = b.Timer(ms+timer.In, timer.Token)
+		if typeOf(got) != "policy.Send" || got[0].(Send).Endpoint != told {
+			t.Errorf("sent %v, want endpoint %d, which answered its probe", got, told)
+		}
+	}
+}
+
+// Failure answered: in a release under overload only cold servers were left, and
+// they were sent several times what they can do and fell over.
+func TestColdServersAreSparedWhileMostIsTurnedAway(t *testing.T) {
+	sends := func(result Result) (n int) {
+		list := fleetOf(4)
+		for i := range list {
+			list[i].Started = 9 * time.Second // warm, at least by 0.24, in this second
+		}
+		b := ready(t, 10*time.Second, list)
+		b.fleet.served = mean{1, 20}
+		for i := range 400 {
+			now := 10*time.Second + time.Duration(i)*2*ms
+			for _, a := range b.Request(now, Request{ID: RequestID(i), Left: 200 * ms}) {
+				if s, ok := a.(Send); ok {
+					n++
+					b.Outcome(now, Outcome{Request: s.Request, Endpoint: s.Endpoint, Result: result, Complete: result == Served, Elapsed: 10 * ms})
+				}
+			}
+		}
+		return n
+	}
+	if n := sends(Served); n < 350 {
+		t.Errorf("%d attempts of 400 requests while all are served", n)
+	}
+	if n := sends(TurnedAway); n > 100 {
+		t.Errorf("%d attempts on cold servers that turn all away", n)
+	}
+}
+
+// Failure answered: a client that draws over the whole fleet opens a connection
+// for nearly every request, and endpoints hold one for each client.
+func TestPricedConnectionsStayFew(t *testing.T) {
+	for seed := range uint64(5) {
+		set := settings()
+		set.Prices.Connection, set.ConnIdle = 0.1, 5*time.Second
+		b, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Endpoints(0, fleetOf(40), true)
+		met := map[EndpointID]bool{}
+		for i := range 200 {
+			now := time.Duration(i+1) * time.Second
+			for _, a := range b.Request(now, Request{ID: RequestID(i), Left: time.Second}) {
+				if s, ok := a.(Send); ok {
+					met[s.Endpoint] = true
+					b.Outcome(now+10*ms, Outcome{Request: s.Request, Endpoint: s.Endpoint, Complete: true, Elapsed: 10 * ms})
+				}
+			}
+		}
+		if len(met) == 0 || len(met) > 4 {
+			t.Errorf("a client with a request a second met %d of 40 endpoints", len(met))
+		}
+	}
+}
+
+// Failure answered: at full size most keys are first-timers to a client, and
+// each went to six servers where two keep it warm.
+func TestAKeySeenOnceIsNotHot(t *testing.T) {
+	k := keyCounts{counts: map[uint64]float64{}}
+	for i := range uint64(10) {
+		if want := math.Ceil(keySpread * k.add(i) * 60); want > 3 {
+			t.Fatalf("key %d, seen once, may go to %v servers", i, want)
+		}
+	}
+	for range 5 {
+		k.add(99)
+	}
+	if want := keySpread * k.add(99) * 60; want < 20 {
+		t.Errorf("a key of a third of the traffic may go to %v servers", want)
+	}
+}
+
+func TestKeyCountsStayBounded(t *testing.T) {
+	k := keyCounts{counts: map[uint64]float64{}}
+	for i := range uint64(100000) {
+		k.add(i)
+	}
+	if len(k.counts) > 2*keyWindow {
+		t.Errorf("%d keys are remembered", len(k.counts))
+	}
+}
+
+// Crossing zones has a price: near endpoints are drawn first while calm.
+func TestNearEndpointsFirst(t *testing.T) {
+	set := settings()
+	set.Prices.CrossZone, set.Zone = 0.02, 1
+	b := start(t, set)
+	list := fleetOf(8)
+	for i := range list {
+		list[i].Zone = i % 4
+	}
+	b.Endpoints(ms, list, true)
+	near, all := 0, 400
+	for i := range all {
+		to := b.Request(ms, Request{ID: RequestID(i), Left: 100 * ms})[0].(Send).Endpoint
+		b.Outcome(2*ms, Outcome{Request: RequestID(i), Endpoint: to, Complete: true, Elapsed: ms})
+		if b.fleet.byID[to].Zone == 1 {
+			near++
+		}
+	}
+	if near < all*9/10 {
+		t.Errorf("%d of %d went to the own zone with nothing in flight", near, all)
+	}
+	for _, s := range b.fleet.servers {
+		if s.Zone == 1 {
+			s.inFlight = 5 // the own zone lacks capacity: it has to spill
+		}
+	}
+	spilt := 0
+	for i := range 50 {
+		to := b.Request(ms, Request{ID: RequestID(1000 + i), Left: 100 * ms})[0].(Send).Endpoint
+		if b.fleet.byID[to].Zone != 1 {
+			spilt++
+		}
+	}
+	if spilt < 20 {
+		t.Errorf("%d of 50 left a busy zone", spilt)
+	}
+}
+
+func TestProbedPairGoesToTheLessBusy(t *testing.T) {
+	set := settings()
+	set.MayProbe, set.Report = true, []Field{FieldRate, FieldInFlight}
+	b := start(t, set)
+	b.Endpoints(ms, fleetOf(2), true)
+	got := b.Request(ms, Request{ID: 1, Left: 200 * ms})
+	if len(got) != 3 {
+		t.Fatalf("want two probes and a timer, got %v", got)
+	}
+	b.Probed(2*ms, ProbeResult{Endpoint: 1, Report: []float64{100, 9}})
+	got = b.Probed(2*ms, ProbeResult{Endpoint: 2, Report: []float64{100, 2}})
+	if typeOf(got) != "policy.Send" || got[0].(Send).Endpoint != 2 {
+		t.Fatalf("sent %v, want endpoint 2", got)
+	}
+	// Failure met: answers just past the aim at all times. Both servers hold
+	// more than they answer within the aim, so the request is refused.
+	b.Request(time.Second, Request{ID: 2, Left: 200 * ms})
+	b.Probed(time.Second, ProbeResult{Endpoint: 1, Report: []float64{100, 40}})
+	got = b.Probed(time.Second, ProbeResult{Endpoint: 2, Report: []float64{100, 40}})
+	if len(got) != 1 || got[0] != (Refuse{2}) {
+		t.Fatalf("got %v, want a refusal", got)
+	}
+	// A probe that never comes back must not hold the request for good.
+	got = b.Request(2*time.Second, Request{ID: 3, Left: 200 * ms})
+	last := got[len(got)-1].(SetTimer)
+	got = b.Timer(2*time.Second+last.In, last.Token)
+	if typeOf(got) != "policy.Send" {
+		t.Fatalf("got %v, want an attempt", got)
+	}
+}
+
+// Late answers must lead to refusals soon, and be forgotten in time.
+func TestPressureRefusesAndFades(t *testing.T) {
+	b := ready(t, ms, fleetOf(4))
+	refused := func(from RequestID) (n int) {
+		for i := range RequestID(60) {
+			if typeOf(b.Request(b.now, Request{ID: from + i, Tenant: int(i) % 2, Left: 100 * ms})) == "policy.Refuse" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := refused(0); n != 0 {
+		t.Errorf("%d refused while calm", n)
+	}
+	for range 8 {
+		b.adm.outcome(b.now, true)
+	}
+	if n := refused(100); n < 30 {
+		t.Errorf("only %d of 60 refused under pressure", n)
+	}
+	b.now += time.Minute
+	if n := refused(200); n != 0 {
+		t.Errorf("%d refused long after", n)
+	}
+}
+
+// What usually takes longer than the client waits is refused before it costs a
+// server work; a few go all the same, as the estimate may be wrong.
+func TestTooShortRequestsAreRefusedEarly(t *testing.T) {
+	b := ready(t, ms, fleetOf(4))
+	for range 20 {
+		b.times[0].add(0.05, 1)
+	}
+	refused := 0
+	for i := range RequestID(100) {
+		if typeOf(b.Request(2*ms, Request{ID: i, Left: 10 * ms})) == "policy.Refuse" {
+			refused++
+		}
+	}
+	if refused < 70 || refused == 100 {
+		t.Errorf("%d of 100 hopeless requests were refused", refused)
+	}
+	if typeOf(b.Request(3*ms, Request{ID: 500, Left: 200 * ms})) != "policy.Send" {
+		t.Error("a request with time enough was refused")
+	}
+}
+
+func TestDiscoveryBacksOffWithJitter(t *testing.T) {
+	set := settings()
+	set.OnRequest = true
+	b := start(t, set)
+	got := b.Endpoints(ms, fleetOf(2), true)
+	if len(got) != 1 {
+		t.Fatalf("want the timer of the first call, got %v", got)
+	}
+	first := got[0].(SetTimer)
+	if first.In > set.AskWithin {
+		t.Errorf("the first call comes after %v, too late for the rules", first.In)
+	}
+	if got = b.Timer(first.In, first.Token); len(got) != 1 || got[0] != (Subscribe{}) {
+		t.Fatalf("got %v, want a subscription", got)
+	}
+	last := time.Duration(0)
+	for i := range 5 {
+		got = b.DiscoveryFailed(time.Duration(i) * time.Minute)
+		in := got[0].(SetTimer).In
+		if in < last/3 || in > 2*longestBackoff {
+			t.Errorf("wait %d is %v after %v", i, in, last)
+		}
+		last = in
+		b.Timer(b.now+in, got[0].(SetTimer).Token)
+	}
+	if last < firstBackoff*4 {
+		t.Errorf("after five failures the wait is only %v", last)
+	}
+}
+
+func BenchmarkRequest(bench *testing.B) {
+	set := settings()
+	b, _ := New(set, 1)
+	b.Endpoints(ms, fleetOf(64), true)
+	bench.ReportAllocs()
+	for i := range bench.N {
+		now := time.Duration(i) * ms
+		id := RequestID(i)
+		for _, a := range b.Request(now, Request{ID: id, Left: 100 * ms}) {
+			if s, ok := a.(Send); ok {
+				b.Outcome(now+ms, Outcome{Request: id, Endpoint: s.Endpoint, Complete: true, Elapsed: ms})
+			}
+		}
+	}
+}
+
+// Failure met: under overload endpoints work through requests whose aim has
+// passed, and everything is late.
+func TestAttemptsTimeOutAtTheAimWhereLateIsWorthless(t *testing.T) {
+	b := start(t, settings())
+	b.Endpoints(ms, fleetOf(3), true)
+	for class, want := range map[int]time.Duration{0: 300 * ms, 3: 100 * ms} {
+		got := b.Request(ms, Request{ID: RequestID(class), Class: class, Left: 300 * ms})[0].(Send)
+		if got.Timeout != want {
+			t.Errorf("class %d: timeout %v, want %v", class, got.Timeout, want)
+		}
+	}
+}
+
+// Failure met: a burst at full size. A client with one request a second learnt
+// of it only from answers that came seconds later.
+func TestOverdueAttemptsCountBeforeTheirAnswer(t *testing.T) {
+	b := start(t, settings())
+	b.Endpoints(ms, fleetOf(3), true)
+	sent := b.Request(ms, Request{ID: 1, Left: 300 * ms})
+	if len(sent) != 2 {
+		t.Fatalf("want an attempt and a timer, got %v", sent)
+	}
+	timer := sent[1].(SetTimer)
+	b.Timer(timer.In, timer.Token)
+	if !b.calm() {
+		t.Error("judged before it was overdue")
+	}
+	b.Timer(ms+timer.In, timer.Token)
+	pressure := b.adm.pressure
+	if b.calm() || b.fleet.byID[sent[0].(Send).Endpoint].health > failureKeeps {
+		t.Error("an overdue attempt was not judged")
+	}
+	b.Timer(2*ms+timer.In, timer.Token)
+	b.Outcome(200*ms, Outcome{Request: 1, Endpoint: sent[0].(Send).Endpoint, Result: Served, Complete: true, Elapsed: 199 * ms})
+	if b.adm.pressure > pressure {
+		t.Error("judged twice")
+	}
+}
+
+// Failure answered: where worth counts by request, dear and cheap requests were
+// refused alike under overload.
+func TestWorthForWorkGoesFirst(t *testing.T) {
+	set := settings()
+	set.Classes = []Class{{Aim: time.Second, Deadline: time.Second, Worth: 2}, {Aim: time.Second, Deadline: time.Second, Worth: 2}}
+	b := start(t, set)
+	b.times[0].add(0.02, 1)
+	b.times[1].add(0.1, 1)
+	admitted := [2]int{}
+	for i := range 2000 {
+		b.adm.level = 0.5
+		if b.admit(&request{Request: Request{Class: i % 2}}) {
+			admitted[i%2]++
+		}
+	}
+	if admitted[0] < 2*admitted[1] || admitted[1] == 0 {
+		t.Errorf("quick and slow requests of equal worth: %v admitted", admitted)
+	}
+}
+
+// Failure answered: for a crossing that costs next to nothing, draws kept to
+// the own zone left its slowed servers the load that others had room for.
+func TestCheapCrossingDoesNotConfine(t *testing.T) {
+	set := settings()
+	set.Prices.CrossZone, set.Zone = 0.01, 1
+	b := start(t, set)
+	list := fleetOf(8)
+	for i := range list {
+		list[i].Zone = i / 4
+	}
+	b.Endpoints(ms, list, true)
+	b.refresh(0)
+	far := 0
+	for range 1000 {
+		if x, _ := b.draw(&request{}, any1); x.Zone != 1 {
+			far++
+		}
+	}
+	if far < 400 || far > 600 {
+		t.Errorf("%d of 1000 first draws crossed zones, want about half", far)
+	}
+}
--- /dev/null
+++ b/policy/request.go
@@ -0,0 +1,338 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// RequestID names a request; it is never used twice.
+type RequestID uint32
+
+// Request is what the instance is told of a client's request.
+type Request struct {
+	ID     RequestID
+	Class  int
+	Tenant int
+	Key    string        // empty: none
+	Left   time.Duration // until the client gives this try up
+	Cost   float64       // expected seconds on a standard core; 0: not told
+}
+
+// Result is how an attempt ended.
+type Result uint8
+
+const (
+	Served         Result = iota
+	Errored               // may have run
+	TurnedAway            // never ran
+	NoAnswer              // may have run
+	NoConnection          // never ran
+	ConnectionLost        // may have run
+	CalledOff             // may have run
+	NotSent               // never ran
+)
+
+// neverRan reports whether the result proves that the attempt did not run.
+func (r Result) neverRan() bool {
+	return r == TurnedAway || r == NoConnection || r == NotSent
+}
+
+// Outcome reports the end of one attempt.
+type Outcome struct {
+	Request  RequestID
+	Attempt  int
+	Endpoint EndpointID
+	Result   Result
+	Complete bool // the request has its final answer
+	Elapsed  time.Duration
+}
+
+const (
+	dedupMargin = 0.15 // part of a key's window left unused: a resend has a way to go
+	overduePart = 0.7  // of the aim, after which an attempt still out counts as late
+	retryNeeds  = 0.8  // part of the usual answer time that has to be left for another attempt
+)
+
+// attempt is one sending of a request.
+type attempt struct {
+	server     *server
+	zone, cell int           // of the server when it was sent
+	sent, due  time.Duration // due: late if still out
+	open       bool
+	ran        bool // it ended without proof that it never ran
+	late       bool // judged when overdue
+}
+
+// request is an accepted request until it is answered and nothing of it is out.
+type request struct {
+	Request
+	arrived  time.Duration
+	answered bool
+	streamed bool
+	redrawn  bool       // its first pair was hopeless
+	held     bool       // waits for the probes of pair
+	pair     [2]*server // drawn, while held
+	attempts []attempt
+	key      uint64  // hash of Key
+	keyShare float64 // estimated part of the traffic
+}
+
+func (r *request) deadline() time.Duration { return r.arrived + r.Left }
+
+// open counts the attempts that are out, ran those that may have run by now.
+func (r *request) open() int { return r.count(func(a *attempt) bool { return a.open }) }
+func (r *request) ran() int  { return r.count(func(a *attempt) bool { return a.open || a.ran }) }
+
+func (r *request) count(is func(*attempt) bool) (n int) {
+	for i := range r.attempts {
+		if is(&r.attempts[i]) {
+			n++
+		}
+	}
+	return n
+}
+
+// tried reports whether an attempt went to s.
+func (r *request) tried(s *server) bool {
+	return r.count(func(a *attempt) bool { return a.server == s }) > 0
+}
+
+// Request takes a request from a client.
+func (b *Balancer) Request(now time.Duration, q Request) []Action {
+	b.begin(now)
+	r := &request{Request: q, arrived: now}
+	b.requests[q.ID] = r
+	b.gap.add((now - b.lastIn).Seconds(), sampleMemory)
+	b.lastIn = now
+	if q.Class < 0 || q.Class >= len(b.set.Classes) || q.Left <= 0 {
+		b.finish(r)
+		return b.actions
+	}
+	if b.set.WarmKeys && r.Key != "" {
+		r.key = hashKey(r.Key)
+		r.keyShare = b.keys.add(r.key)
+	}
+	// Failure answered: under overload endpoints work for answers that come late.
+	if c := &b.set.Classes[q.Class]; c.LateWorth == 0 && c.Aim > 0 {
+		r.Left = min(r.Left, c.Aim)
+	}
+	hopeless := b.expected(r) > q.Left.Seconds() && b.random() > leastAdmitted // some go, or a wrong estimate stays
+	if hopeless || !b.admit(r) || !b.attempt(r) {
+		b.finish(r)
+	}
+	return b.actions
+}
+
+// attempt sends the request to one of two drawn servers, or holds it until
+// both have been probed; it reports false when there is no server to go to.
+func (b *Balancer) attempt(r *request) bool {
+	if !b.mayAttempt(r) {
+		return false
+	}
+	b.refresh(r.Class)
+	f := &b.fleet
+	f.parts += f.served.value / math.Max((1-f.served.value)*float64(len(f.table)), 1e-3) // no limit while all are served
+	ok := func(s *server) bool { return b.maySend(r, s) && !f.spared(s, b.now, &b.set) }
+	x, y := b.draw(r, func(s *server) bool { return !r.tried(s) && ok(s) })
+	if x == nil && len(r.attempts) > 0 {
+		x = b.fleet.scan(b.random, ok)
+	}
+	switch {
+	case x == nil:
+		return false
+	case y == nil:
+		b.send(r, x)
+	case b.probesPay():
+		b.hold(r, x, y)
+	default:
+		b.send(r, b.fleet.better(x, y, b.now, b.random))
+	}
+	return true
+}
+
+// draw draws two servers, by key where that pays (a hot one among more). Where
+// connections are priced the client's own stands in; a calm client starts near.
+func (b *Balancer) draw(r *request, ok func(*server) bool) (x, y *server) {
+	key, want, n := b.home, b.set.ConnIdle.Seconds()/math.Max(b.gap.value, 1e-3)/homeReuse, float64(len(b.fleet.table))
+	if b.set.WarmKeys && r.Key != "" {
+		key, want = r.key, math.Ceil(keySpread*r.keyShare*n)
+	} else if b.set.Prices.Connection <= 0 {
+		return b.fleet.choose(b.random, b.calm(), ok)
+	}
+	want = math.Max(2, math.Min(want, n))
+	if b.fleet.crossing && b.calm() && len(r.attempts) < b.set.MaxAttempts-1 {
+		near := func(s *server) bool { return s.Zone == b.set.Zone && ok(s) }
+		if x, y = b.fleet.chooseByKey(key, int(want), b.random, near); y != nil {
+			return x, y
+		}
+	}
+	return b.fleet.chooseByKey(key, int(want), b.random, ok)
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	b.adm.retries -= float64(min(len(r.attempts), 1)) // every attempt after the first
+	s.inFlight++
+	s.credit = 0
+	patience := time.Duration(overduePart * float64(b.set.Classes[r.Class].Aim))
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: b.now, due: b.now + patience, open: true}
+	r.attempts = append(r.attempts, a)
+	b.do(Send{Request: r.ID, Endpoint: s.ID, Timeout: r.deadline() - b.now})
+	if a.due < r.deadline() {
+		b.do(SetTimer{Token: Token{timerLate, r.ID}, In: a.due - b.now})
+	}
+}
+
+// overdue judges attempts still out. Failure answered: in a burst answers tell too late.
+func (b *Balancer) overdue(r *request) {
+	for i := 0; r != nil && i < len(r.attempts); i++ {
+		if a := &r.attempts[i]; a.open && !a.late && b.now >= a.due {
+			a.late = true
+			b.fleet.observe(a.server, b.now, true)
+			b.adm.outcome(b.now, true)
+		}
+	}
+}
+
+// mayAttempt holds the rules on one more attempt, wherever it goes.
+func (b *Balancer) mayAttempt(r *request) bool {
+	if r.answered || r.streamed || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.deadline() {
+		return false
+	}
+	return (b.set.SecondCopies || r.open() == 0) && (r.ran() == 0 || b.set.Classes[r.Class].Effect != Unsafe)
+}
+
+// maySend holds the rule on keyed repeats: only where and while they are discarded.
+func (b *Balancer) maySend(r *request, s *server) bool {
+	c := &b.set.Classes[r.Class]
+	window := time.Duration(float64(c.DedupWindow) * (1 - dedupMargin))
+	return r.count(func(a *attempt) bool {
+		shared := c.Scope == ScopeAll || c.Scope == ScopeZone && a.zone == s.Zone || c.Scope == ScopeCell && a.cell == s.Cell
+		return c.Effect == Keyed && (a.open || a.ran) && (b.now-a.sent >= window || !shared)
+	}) == 0
+}
+
+// mayRefuse reports whether the client may be told that a retry is harmless.
+func (b *Balancer) mayRefuse(r *request) bool {
+	if r.ran() == 0 {
+		return true
+	}
+	c := &b.set.Classes[r.Class]
+	return c.Effect == Repeatable || c.Effect == Keyed && c.Scope == ScopeAll
+}
+
+// finish answers with a refusal where that is legal, else with a failure.
+func (b *Balancer) finish(r *request) {
+	if b.mayRefuse(r) {
+		b.do(Refuse{Request: r.ID})
+	} else {
+		b.do(Fail{Request: r.ID})
+	}
+	b.conclude(r)
+}
+
+// conclude notes the answer: what is out is called off, then all is forgotten.
+func (b *Balancer) conclude(r *request) {
+	if !r.answered {
+		r.answered, r.held = true, false
+		if !r.streamed {
+			b.callOff(r, -1)
+		}
+	}
+	if r.open() == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+// callOff cancels the attempts that are out, but for one.
+func (b *Balancer) callOff(r *request, except int) {
+	for i := range r.attempts {
+		if i != except && r.attempts[i].open && b.set.Cancel {
+			b.do(Cancel{Request: r.ID, Attempt: i})
+		}
+	}
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) []Action {
+	b.begin(now)
+	r := b.requests[o.Request]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].open {
+		return b.actions
+	}
+	a := &r.attempts[o.Attempt]
+	a.open = false
+	a.ran = !o.Result.neverRan()
+	a.server.inFlight--
+	b.learn(r, a, o)
+	switch {
+	case o.Complete || r.answered:
+		b.conclude(r)
+	case r.open() > 0 || r.held: // the other copy may still answer
+	case (r.deadline()-b.now).Seconds() > retryNeeds*b.expected(r) && (b.adm.retries >= 1 || !a.ran) && b.attempt(r):
+	default:
+		if !a.ran { // failure answered: one full server is not a full fleet
+			b.adm.outcome(b.now, true)
+		}
+		b.finish(r)
+	}
+	return b.actions
+}
+
+// work is the request's hinted work, or what stands for it without a hint.
+func (b *Balancer) work(r *request) float64 {
+	if r.Cost > 0 {
+		return r.Cost
+	}
+	if m := b.times[r.Class].work; m.weight > 0 {
+		return m.value
+	}
+	return 1
+}
+
+// expected is the usual answer time of such a request in seconds; 0: unknown.
+func (b *Balancer) expected(r *request) float64 { return b.times[r.Class].per * b.work(r) }
+
+// learn takes an outcome. A quick error is no speed sample, a time-out a slow one.
+func (b *Balancer) learn(r *request, a *attempt, o Outcome) {
+	if o.Result == CalledOff || o.Result == NotSent {
+		return
+	}
+	failed := o.Result != Served
+	b.fleet.served.add(indicator(!failed), sampleMemory/3)
+	late := failed || o.Elapsed > b.set.Classes[r.Class].Aim
+	if !a.late {
+		if o.Result != TurnedAway { // a full queue passes sooner than health returns
+			b.fleet.observe(a.server, b.now, late)
+		}
+		if !failed || o.Result == NoAnswer {
+			b.adm.outcome(b.now, late)
+		}
+	}
+	c, work := &b.times[r.Class], b.work(r)
+	per := o.Elapsed.Seconds() / work
+	if !failed && per > 0 {
+		c.add(per, work)
+	}
+	if c.per > 0 && (!failed || o.Result == NoAnswer && per > c.per) {
+		b.fleet.kinds[a.server.Kind].sample(r.Class, per/c.per, &b.fleet.cells[a.server.Cell&maxKind])
+	}
+}
+
+// Gone tells that the client left: the request is over and owed nothing.
+func (b *Balancer) Gone(now time.Duration, id RequestID) []Action {
+	b.begin(now)
+	if r := b.requests[id]; r != nil {
+		b.conclude(r)
+	}
+	return b.actions
+}
+
+// StreamStarted tells that an answer has begun: it can't be sent elsewhere now.
+func (b *Balancer) StreamStarted(now time.Duration, id RequestID, n int) []Action {
+	b.begin(now)
+	if r := b.requests[id]; r != nil {
+		r.streamed, r.held = true, false
+		b.callOff(r, n)
+	}
+	return b.actions
+}
--- /dev/null
+++ b/policy/settings.go
@@ -0,0 +1,95 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+)
+
+// Effect says what repeating a request of a class may do.
+type Effect uint8
+
+const (
+	Repeatable Effect = iota // may run any number of times
+	Keyed                    // repeats are discarded within Class.DedupWindow by the endpoints of Class.Scope
+	Unsafe                   // must never run twice
+)
+
+// Scope says which endpoints discard repeats of a Keyed request.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Aim         time.Duration // an answer up to here has its full worth
+	Deadline    time.Duration // the client's patience over all its tries
+	Effect      Effect
+	Scope       Scope
+	DedupWindow time.Duration
+	Worth       float64
+	LateWorth   float64 // part of Worth that an answer after the aim has
+}
+
+// Tenant describes a party with an agreed fraction of the service.
+type Tenant struct{ Share float64 }
+
+// Field names one value of a load report.
+type Field uint8
+
+const (
+	FieldOther    Field = iota // skipped
+	FieldInFlight              // requests held
+	FieldQueue                 // requests waiting
+	FieldRate                  // requests served per second
+)
+
+// Prices are points of the operator's result per first try; of 100 connections.
+type Prices struct{ CrossZone, Probe, Connection float64 }
+
+// Settings is what an instance is told before its first event.
+type Settings struct {
+	Classes       []Class
+	Tenants       []Tenant
+	FleetSize     int // sidecars that send to the same endpoints
+	Zone          int
+	OnRequest     bool          // discovery speaks only when asked
+	AskWithin     time.Duration // unsubscribed and silent for longer counts as told
+	ColdTime      time.Duration // a started endpoint is warm after this
+	StartCapacity float64       // share of its capacity it starts with at least
+	MaxAttempts   int
+	SecondCopies  bool // two attempts of a request may be out together
+	Cancel        bool // attempts may be called off
+	MayProbe      bool
+	Report        []Field // order of the values in a load report
+	Prices        Prices
+	ConnIdle      time.Duration // a connection closes after so long without use
+	WorthByWork   bool          // worth counts per unit of work
+	WarmKeys      bool          // an endpoint that met a key lately serves it with less work
+}
+
+// validate names the first field that can't be worked with.
+func (s *Settings) validate() error {
+	for i, c := range s.Classes {
+		switch {
+		case c.Effect > Unsafe || c.Scope > ScopeCell:
+			return fmt.Errorf("settings: classes[%d] has an unknown effect or key_scope", i)
+		case c.Aim < 0 || c.Deadline < 0 || c.DedupWindow < 0:
+			return fmt.Errorf("settings: classes[%d] has a negative time", i)
+		}
+	}
+	switch {
+	case len(s.Classes) == 0:
+		return fmt.Errorf("settings: classes: at least one is needed")
+	case s.FleetSize < 1:
+		return fmt.Errorf("settings: fleet_size %d is below 1", s.FleetSize)
+	case s.MaxAttempts < 1:
+		return fmt.Errorf("settings: send_cap %d is below 1", s.MaxAttempts)
+	case !(s.StartCapacity >= 0 && s.StartCapacity <= 1):
+		return fmt.Errorf("settings: start_capacity %v is outside 0 to 1", s.StartCapacity)
+	}
+	return nil
+}
--- /dev/null
+++ b/policy/size_test.go
@@ -0,0 +1,50 @@
+package policy
+
+import (
+	"bufio"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestModuleSize holds the module to the length its users print, and the
+// policy list to the files that are there.
+func TestModuleSize(t *testing.T) {
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := regexp.MustCompile(`(?m)^policy = \[(.*)\]`).FindSubmatch(deploy)
+	if list == nil {
+		t.Fatal("deploy/balancer.toml has no policy list")
+	}
+	listed, lines := map[string]bool{}, 0
+	for _, m := range regexp.MustCompile(`"([^"]+)"`).FindAllSubmatch(list[1], -1) {
+		name := string(m[1])
+		listed[filepath.Base(name)] = true
+		f, err := os.Open("../" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for scan := bufio.NewScanner(f); scan.Scan(); {
+			if strings.TrimSpace(scan.Text()) != "" {
+				lines++
+			}
+		}
+		f.Close()
+	}
+	if lines == 0 || lines > 1200 {
+		t.Errorf("the module has %d lines that are not blank", lines)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if !strings.HasSuffix(f, "_test.go") && !listed[f] {
+			t.Errorf("%s is not in the policy list", f)
+		}
+	}
+}
