glenpick: follow discovery on SIGHUP, and start with little memory

Now SIGHUP reads the file again and a running watch is given up for the whole list at the new address. The file goes before NODE_DISCOVERY, which can't change while the process runs. A file that can't be read changes nothing.

--- a/cmd/glenpick/main.go
+++ b/cmd/glenpick/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,6 +23,9 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// Before anything else: an unhandled SIGHUP ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	config, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -31,5 +35,24 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, hangup, s)
 	return s.Run(ctx)
 }
+
+// reload reads the configuration anew at every SIGHUP until ctx ends. A file
+// that can't be used changes nothing: the sidecar goes on with what it has.
+func reload(ctx context.Context, hangup <-chan os.Signal, s *sidecar.Sidecar) {
+	for {
+		select {
+		case <-ctx.Done():
+			return // SIGHUP stays caught: it must not cut the drain short
+		case <-hangup:
+		}
+		config, err := sidecar.LoadConfig(os.Getenv)
+		if err != nil {
+			slog.Error("the new configuration is not used", "error", err)
+			continue
+		}
+		s.Reload(config)
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -34,8 +34,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// LoadConfig reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and
-// NODE_DISCOVERY go before what it says.
+// LoadConfig reads the file that NODE_CONFIG names. NODE_NAME and NODE_LISTEN
+// go before what it says. NODE_DISCOVERY does not: the environment stays as it
+// was when the file is replaced, so it counts only where the file is silent.
 func LoadConfig(getenv func(string) string) (Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
@@ -49,11 +50,14 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	for name, field := range map[string]*string{"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery} {
+	for name, field := range map[string]*string{"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
+	if c.Discovery == "" {
+		c.Discovery = getenv("NODE_DISCOVERY")
+	}
 	switch {
 	case c.Listen == "":
 		return Config{}, errors.New("neither NODE_LISTEN nor the configuration tells where to listen")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,15 +21,17 @@
 const (
 	clientPart   = 0.55
 	upstreamPart = 0.37
-	minSockets   = 64
+	minSockets   = 32
 )
 
 // How the memory is shared out. The part that the collector keeps below
-// leaves room for what it does not count; bodies may take a part of that.
+// leaves room for what it does not count; bodies may take a part of that. The
+// least is what the runtime needs by itself and a little more: a sidecar that
+// refuses to start is worth less than one that is short of memory.
 const (
-	heapPart    = 0.8
-	bodyPart    = 0.4
-	minMemoryMB = 64
+	heapPart    = 0.7
+	bodyPart    = 0.25
+	minMemoryMB = 16
 )
 
 const (
@@ -128,6 +130,14 @@
 	return nil
 }
 
+// Reload takes over what a new configuration may change in a running sidecar:
+// where discovery is. The rest (address, limits, settings) stays as it was at
+// the start, and so do the requests under way.
+func (s *Sidecar) Reload(c Config) {
+	slog.Info("reloaded", "discovery", c.Discovery)
+	s.watcher.redirect(c.Discovery)
+}
+
 func (s *Sidecar) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepPeriod)
 	defer tick.Stop()
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -25,19 +25,21 @@
 // watcher keeps a watch on discovery going from when the module asks for it
 // until it fails, and tells the driver what comes.
 type watcher struct {
-	client  *discovery.Client
+	client  *discovery.Client // of run alone, as are the fields after it
 	driver  *driver
 	version int64
 	known   bool // version is that of a list
-	asked   chan struct{}
 	failing bool
+
+	asked chan struct{}
+	moved chan string // discovery's new address; holds the latest
 }
 
 func newWatcher(c *Config, d *driver) *watcher {
 	return &watcher{
 		client: discovery.NewClient(c.Discovery), driver: d,
 		version: c.Known.Version, known: c.Known.Version > 0,
-		asked: make(chan struct{}, 1),
+		asked: make(chan struct{}, 1), moved: make(chan string, 1),
 	}
 }
 
@@ -49,6 +51,16 @@
 	}
 }
 
+// redirect tells that discovery is at addr from now on; it does not wait. It
+// is for one caller at a time.
+func (w *watcher) redirect(addr string) {
+	select {
+	case <-w.moved: // not taken yet, and out of date
+	default:
+	}
+	w.moved <- addr
+}
+
 // run watches until ctx ends. Where lists are pushed nobody has to ask.
 func (w *watcher) run(ctx context.Context, pushed bool) {
 	if pushed {
@@ -59,8 +71,12 @@
 		case <-ctx.Done():
 			return
 		case <-w.asked:
+		case addr := <-w.moved:
+			w.move(addr)
+		}
+		for addr := w.watchUntilMoved(ctx); addr != ""; addr = w.watchUntilMoved(ctx) {
+			w.move(addr)
 		}
-		w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -71,6 +87,35 @@
 	}
 }
 
+// move turns to another address. The registry there may count versions in its
+// own way, so the whole list is asked for, and at once: what it has to tell
+// counts as told soon after, whether or not the module has a call planned.
+func (w *watcher) move(addr string) {
+	w.client.CloseIdle()
+	w.client = discovery.NewClient(addr)
+	w.known = false
+}
+
+// watchUntilMoved watches until a call fails or discovery has moved; it returns
+// the new address, if there is one. A call to the old address is given up: it
+// would hold an answer of the new one back for as long as it may wait.
+func (w *watcher) watchUntilMoved(ctx context.Context) (addr string) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case addr = <-w.moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	w.watch(ctx)
+	cancel()
+	<-done
+	return addr
+}
+
 // watch goes on until a call fails. Each call follows on the last answer at
 // once: what changes in between counts as told.
 func (w *watcher) watch(ctx context.Context) {
