sidecar: check requests before they are read, and bound what clients may hold

An id in use was sent on again. conns.go evicted the connection unmoved for longest, which in a silent crowd is a usual client's.

Connections make room in the order of what closing them costs.

Only resting connections and first requests make room since.

--- /dev/null
+++ b/internal/framing/framing.go
@@ -0,0 +1,102 @@
+// Package framing checks the heads of HTTP/1.1 messages more strictly than
+// net/http does. net/http settles what is in doubt in its own way, and without
+// telling: it drops Content-Length where Transfer-Encoding is there too, takes
+// a bare line feed for the end of a line, and unites equal lengths. Two peers
+// that settle it differently disagree on where a message ends, and what one
+// takes for a body the other takes for the next message. So whatever leaves the
+// end of a message in doubt is an error here, whichever way it does.
+//
+// It could do harm to a peer that is sloppy and means well: one that ends lines
+// with a bare line feed, folds headers, or uses a coding other than chunked is
+// turned away.
+package framing
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// MaxHead bounds a message's head. It fits into a reader's buffer of that size.
+const MaxHead = 8 << 10
+
+// Head is what a head says of the length of its body.
+type Head struct {
+	Length  int64 // Content-Length; -1: there is none
+	Chunked bool
+}
+
+var (
+	errLine      = errors.New("a line of the head does not end in CRLF or holds control characters")
+	errField     = errors.New("a line of the head is no header")
+	errLength    = errors.New("Content-Length is no length or stands there twice")
+	errCoding    = errors.New("Transfer-Encoding is not chunked or stands there twice")
+	errAmbiguous = errors.New("both Content-Length and Transfer-Encoding are there")
+)
+
+// End returns the length of the head that b begins with, its empty line
+// included; 0 if b does not hold all of it. It ends a head where the most
+// lenient reader would: Check then refuses what the strict ones read on.
+func End(b []byte) int {
+	for i := 0; ; {
+		n := bytes.IndexByte(b[i:], '\n')
+		if n < 0 {
+			return 0
+		}
+		if line := b[i : i+n]; len(bytes.TrimSuffix(line, []byte{'\r'})) == 0 {
+			return i + n + 1
+		}
+		i += n + 1
+	}
+}
+
+// Check reads a whole head. What the start line says is for others to judge.
+func Check(head []byte) (Head, error) {
+	h := Head{Length: -1}
+	for n := 0; len(head) > 0; n++ {
+		line, rest, ok := bytes.Cut(head, []byte("\r\n"))
+		if !ok || bytes.ContainsAny(line, "\r\n\x00") {
+			return h, errLine
+		}
+		head = rest
+		if n == 0 || len(line) == 0 {
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) {
+			return h, errField
+		}
+		value = bytes.Trim(value, " \t")
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			x, err := strconv.ParseUint(string(value), 10, 63)
+			if err != nil || h.Length >= 0 {
+				return h, errLength
+			}
+			h.Length = int64(x)
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if h.Chunked || !bytes.EqualFold(value, []byte("chunked")) {
+				return h, errCoding
+			}
+			h.Chunked = true
+		}
+	}
+	if h.Chunked && h.Length >= 0 {
+		return h, errAmbiguous
+	}
+	return h, nil
+}
+
+// isToken reports whether name may be a header's name: no space before the
+// colon, no folded line.
+func isToken(name []byte) bool {
+	for _, c := range name {
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		case bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0:
+		default:
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -3,44 +3,166 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
-)
-
-// connTable holds the application's connections, to at most limit of them. In
-// a crowd the one that has been idle or half-written longest makes room:
-// those who come must be heard, and many of those who are there never speak.
-type connTable struct {
-	limit int
 
-	mu    sync.Mutex
-	conns map[*clientConn]struct{}
-	full  bool // logged
-}
+	"ploverusher/internal/framing"
+	"ploverusher/internal/peek"
+)
 
-// clientConn is one of the application's connections.
+// clientConn is one of the application's connections. Its Read hands a request
+// to the server in two parts, a head that was checked whole and a body of the
+// length told there, and never a byte of the next request along with them. So
+// where a request ends is known here, and what stands behind it is noticed.
 type clientConn struct {
 	*net.TCPConn
-	table   *connTable
+	table *connTable
+
+	// Of Read alone; the server makes one call at a time.
+	head    []byte // of a head that has not come whole
+	ready   []byte // read, and still to be handed out
+	left    int64  // of the body after ready
+	through bool   // what follows is passed as it comes: chunked, or malformed
+
+	chunked atomic.Bool // the latest request's body is
+	serving atomic.Bool // a request was handed out and its answer has not begun
+	extra   atomic.Bool // something came behind that request
+
 	moved   atomic.Int64 // Unix nanoseconds when bytes last went either way
+	begun   atomic.Int64 // when the latest request's first byte came, or the connection
 	heard   atomic.Bool  // something was read from it
+	resting atomic.Bool  // it has had an answer and nothing came since
 	busy    bool         // a request has been taken and is not answered in full
-	evicted bool
+
+	answered bool // its first request has been
+	evicted  bool
 }
 
+var errHeadTooLong = errors.New("the head is too long")
+
 func (c *clientConn) Read(b []byte) (int, error) {
+	for len(c.ready) == 0 {
+		if c.through || c.left > 0 {
+			if !c.through {
+				b = b[:min(int64(len(b)), c.left)]
+			}
+			n, err := c.receive(b)
+			c.left -= int64(n)
+			return n, err
+		}
+		if err := c.readHead(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(b, c.ready)
+	if c.ready = c.ready[n:]; len(c.ready) == 0 {
+		c.ready = nil // a connection that rests holds no buffer
+	}
+	return n, nil
+}
+
+// receive reads from the socket.
+func (c *clientConn) receive(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 {
-		c.heard.Store(true)
-		c.moved.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		if c.heard.Swap(true); c.resting.Swap(false) || len(c.head) == 0 && c.left == 0 && !c.through {
+			c.begun.Store(now)
+		}
+		c.moved.Store(now)
 	}
 	return n, err
 }
 
+// unreadable stands for a head that was refused: the server answers it with 400
+// and closes, and is spared the reading of 8 KB of noise.
+const unreadable = "unreadable\r\n\r\n"
+
+// readHead reads some of the next request's head, and all of it into ready once
+// it is whole.
+func (c *clientConn) readHead() error {
+	var buf [2 << 10]byte
+	n, err := c.receive(buf[:])
+	if n == 0 {
+		return err
+	}
+	if c.serving.Load() {
+		c.extra.Store(true)
+	}
+	c.head = append(c.head, buf[:n]...)
+	end := framing.End(c.head)
+	if end == 0 && len(c.head) < framing.MaxHead {
+		return err
+	}
+	var h framing.Head
+	var wrong error
+	if end == 0 {
+		wrong = errHeadTooLong
+	} else {
+		h, wrong = framing.Check(c.head[:end])
+	}
+	c.ready, c.head = c.head, nil
+	c.through = wrong != nil || h.Chunked
+	c.chunked.Store(h.Chunked)
+	if wrong != nil {
+		c.ready = []byte(unreadable)
+	}
+	c.extra.Store(c.serving.Swap(true)) // not answered yet, and here is the next
+	if c.through {
+		return err
+	}
+	c.left = max(h.Length, 0)
+	body := int64(len(c.ready) - end)
+	if body > c.left { // what is behind the request is not handed out
+		c.extra.Store(true)
+		c.head = append(c.head, c.ready[end+int(c.left):]...)
+		c.ready = c.ready[:end+int(c.left)]
+		body = c.left
+	}
+	c.left -= body
+	return err
+}
+
+// crowded reports whether anything has come behind the request being served:
+// its sender sends one request at a time, so what is there belongs to that one
+// and its end is not where it says, or it is a request that was to be hidden.
+func (c *clientConn) crowded() bool { return c.extra.Load() || c.readable() }
+
+// answering marks that the answer begins: what comes from now on may be the
+// next request. It reports whether something came too soon for that.
+func (c *clientConn) answering() (crowded bool) {
+	c.serving.Store(false)
+	return c.extra.Load() || c.chunked.Load()
+}
+
+// readable reports whether something waits to be read from the socket.
+func (c *clientConn) readable() bool {
+	n, _ := peek.Peek(c.TCPConn)
+	return n > 0
+}
+
+// linger bounds how long, and for how many bytes, a connection that closes with
+// something unread is read on: closing it at once would reset it, and a reset
+// may overtake the answer.
+const (
+	linger      = 200 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+func (c *clientConn) Close() error {
+	if c.extra.Load() {
+		c.CloseWrite()
+		c.TCPConn.SetReadDeadline(time.Now().Add(linger))
+		io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	}
+	return c.TCPConn.Close()
+}
+
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.TCPConn.Write(b)
 	if n > 0 {
@@ -58,6 +180,16 @@
 	return c.busy
 }
 
+// connTable holds the application's connections, to at most limit of them. In
+// a crowd those make room that are worth least to the application.
+type connTable struct {
+	limit int
+
+	mu    sync.Mutex
+	conns map[*clientConn]struct{}
+	full  bool // logged
+}
+
 func newConnTable(limit int) *connTable {
 	return &connTable{limit: limit, conns: map[*clientConn]struct{}{}}
 }
@@ -65,7 +197,9 @@
 // add takes a new connection into the table; nil if there is no room for it.
 func (t *connTable) add(nc *net.TCPConn) *clientConn {
 	c := &clientConn{TCPConn: nc, table: t}
-	c.moved.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	c.moved.Store(now)
+	c.begun.Store(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.conns) >= t.limit {
@@ -81,21 +215,52 @@
 	return c
 }
 
-// evict closes the connection that has been without a taken request, and
-// unmoved, for longest.
+// mayRest is how long a connection may rest at least, unless nothing else can
+// make room.
+const mayRest = 2 * time.Second
+
+// evict closes the connection that is worth least: first those that never said
+// anything, then those that have rested long, then those that have begun their
+// first request and not ended it, and at last those that rest; of equals the
+// one unmoved for longest. A crowd that is silent, or slow, so closes itself and
+// not the connections of those who use theirs.
+//
+// Requests taken are safe, and so is what a later request of a connection has
+// said so far: once it has been read, closing loses it. What waits unread is
+// left alone too. With nothing else there it reports false.
 func (t *connTable) evict() bool {
-	var oldest *clientConn
+	long := time.Now().Add(-mayRest).UnixNano()
+	var worst *clientConn
+	least := 0
 	for c := range t.conns {
-		if !c.busy && (oldest == nil || c.moved.Load() < oldest.moved.Load()) {
-			oldest = c
+		if c.busy {
+			continue
+		}
+		worth := 2
+		switch resting := c.resting.Load(); {
+		case !c.heard.Load():
+			worth = 0
+		case resting && c.moved.Load() < long:
+			worth = 1
+		case resting:
+			worth = 3
+		case c.answered:
+			continue
+		}
+		if worst != nil && (worth > least || worth == least && c.moved.Load() >= worst.moved.Load()) {
+			continue
+		}
+		if worth != 2 && c.readable() {
+			continue // its request is here and only has not been looked at
 		}
+		worst, least = c, worth
 	}
-	if oldest == nil {
+	if worst == nil {
 		return false
 	}
-	oldest.evicted = true
-	delete(t.conns, oldest)
-	oldest.TCPConn.Close()
+	worst.evicted = true
+	delete(t.conns, worst)
+	worst.TCPConn.Close()
 	return true
 }
 
@@ -110,7 +275,8 @@
 	defer t.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.busy = false
+		c.busy, c.answered = false, true
+		c.resting.Store(len(c.head) == 0 && !c.serving.Load()) // the server reads nothing now
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, c)
 		if len(t.conns) < t.limit/2 {
@@ -140,7 +306,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.conns {
-		if !c.heard.Load() {
+		if !c.heard.Load() && !c.readable() {
 			c.evicted = true
 			c.TCPConn.Close()
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"time"
 
+	"ploverusher/internal/framing"
 	"ploverusher/internal/upstream"
 )
 
@@ -41,10 +42,13 @@
 	// stillMoving is how long a stopping sidecar waits for a long answer of
 	// which nothing moves.
 	stillMoving = 2 * time.Second
-	// headPatience is for a request's head; a slow client takes up to 2 s.
-	headPatience = 10 * time.Second
-	sweepPeriod  = time.Second
-	stopPoll     = 10 * time.Millisecond
+	// restPatience is how long a connection may rest between requests. Clients
+	// that ask once and keep theirs would fill the table otherwise.
+	restPatience = 5 * time.Second
+	// writePatience is for writing an answer to a client that does not read.
+	writePatience = 5 * time.Second
+	sweepPeriod   = time.Second
+	stopPoll      = 10 * time.Millisecond
 )
 
 // Sidecar is a sidecar that listens.
@@ -75,12 +79,18 @@
 	s.server = &http.Server{
 		Handler: &inbound{
 			classes: c.Settings.Classes, tenants: c.Settings.Tenants, settings: c.Settings.Policy, driver: s.driver,
-			bodies: newBodies(int64(bodyPart * float64(c.Limits.MemoryMB<<20))),
+			bodies: newBodies(int64(bodyPart * float64(c.Limits.MemoryMB<<20))), ids: newIDs(),
 		},
-		ReadHeaderTimeout: headPatience,
-		ConnContext:       withConn,
-		ConnState:         s.conns.state,
-		ErrorLog:          log.New(panicsOnly{}, "", 0),
+		ReadHeaderTimeout: requestPatience,
+		IdleTimeout:       restPatience,
+		WriteTimeout:      requestPatience + s.longestDeadline() + writePatience, // from the end of the head
+		MaxHeaderBytes:    framing.MaxHead,
+
+		DisableGeneralOptionsHandler: true, // it would answer a request that is none of ours with 200
+
+		ConnContext: withConn,
+		ConnState:   s.conns.state,
+		ErrorLog:    log.New(panicsOnly{}, "", 0),
 	}
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -90,6 +100,14 @@
 	return s, nil
 }
 
+// longestDeadline is how long a client waits for an answer at the most.
+func (s *Sidecar) longestDeadline() (longest time.Duration) {
+	for _, c := range s.config.Settings.Policy.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // panicsOnly logs what the server says of panics. The rest is of single
 // requests and connections.
 type panicsOnly struct{}
@@ -161,10 +179,7 @@
 	s.server.SetKeepAlivesEnabled(false)
 	time.Sleep(acceptAfterStop)
 	s.listener.Close()
-	longest := time.Duration(0)
-	for _, c := range s.config.Settings.Policy.Classes {
-		longest = max(longest, c.Deadline)
-	}
+	longest := s.longestDeadline()
 	for {
 		s.conns.closeSilent()
 		all, busy, moving := s.conns.count(time.Now().Add(-stillMoving))
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,291 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// patience bounds waits for what should come at once, or within a second or two
+// by a time limit of the sidecar's own.
+const patience = 20 * time.Second
+
+// endpoint listens as one would and answers each connection by hand.
+func listenEndpoint(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// echo answers every request with its id, and tells seen of each.
+func echo(seen func(r *http.Request)) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			seen(r)
+			id := r.Header.Get("Req-Id")
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		}
+	}
+}
+
+// start runs a sidecar that knows these endpoints, with change applied to its
+// configuration. Its discovery never answers.
+func start(t *testing.T, change func(c *Config), endpoints ...string) *Sidecar {
+	t.Helper()
+	registry, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { registry.Close() })
+	var known []string
+	for i, addr := range endpoints {
+		known = append(known, fmt.Sprintf(`{"id":"s%d","addr":%q,"kind":"std","state":"active","weight":1}`, i, addr))
+	}
+	c, err := parseConfig([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"known":{"version":1,"full":true,"servers":[%s]},
+		"settings":{"fleet_size":1,"kinds":["std"],"discovery":"pushed",
+			"limits":{"send_cap":3,"connect_timeout_ms":1000,"conn_idle_ms":10000,"cancelling":true},
+			"classes":[
+				{"name":"tile","effect":"read_like","aim_ms":4000,"hard_limit_ms":8000,"late_worth":0.5,"worth":1},
+				{"name":"report","effect":"idempotency_key","key_scope":"cell","dedup_window_ms":8000,"aim_ms":4000,"hard_limit_ms":8000,"late_worth":0.5,"worth":1}]}}`,
+		registry.Addr(), strings.Join(known, ","))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(&c)
+	}
+	s, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Sidecar) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+const tileHead = "GET /tile/1?user=k HTTP/1.1\r\nHost: b\r\nReq-Kind: tile\r\nReq-Owner: o\r\nReq-Deadline: 7000m\r\n"
+
+func tile(id string) string { return tileHead + "Req-Id: " + id + "\r\n\r\n" }
+
+const reportHead = "POST /report HTTP/1.1\r\nHost: b\r\nReq-Kind: report\r\nReq-Deadline: 7000m\r\nIdempotency-Key: k\r\n"
+
+func report(id, body string) string {
+	return fmt.Sprintf("%sReq-Id: %s\r\nContent-Length: %d\r\n\r\n%s", reportHead, id, len(body), body)
+}
+
+// read reads an answer; status 0 where the connection was closed instead.
+func read(t *testing.T, c net.Conn) (status int, body string) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		var text []byte
+		if text, err = io.ReadAll(resp.Body); err == nil {
+			return resp.StatusCode, string(text)
+		}
+	}
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Fatal("neither an answer nor a close")
+	}
+	return 0, ""
+}
+
+// What can't be a request of the application's gets an error or a close, and
+// soon, whether or not its sender goes on; none of it goes to an endpoint. The
+// usual clients are served all the while.
+func TestBadClients(t *testing.T) {
+	var reached atomic.Pointer[string]
+	addr := listenEndpoint(t, echo(func(r *http.Request) {
+		if id := r.Header.Get("Req-Id"); !strings.HasPrefix(id, "good") {
+			reached.Store(&id)
+		}
+	}))
+	s := start(t, nil, addr)
+	hidden := tile("hidden")
+	bad := map[string]string{
+		"noise":                      "\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+		"silence":                    "",
+		"half a head":                tileHead,
+		"a head without end":         tileHead + strings.Repeat("A: b\r\n", 20000),
+		"half a body":                reportHead + "Req-Id: b1\r\nContent-Length: 10\r\n\r\n12",
+		"a negative length":          reportHead + "Req-Id: b2\r\nContent-Length: -2\r\n\r\n12",
+		"a huge length":              reportHead + "Req-Id: b3\r\nContent-Length: 9223372036854775808\r\n\r\n12",
+		"a long body":                reportHead + "Req-Id: b4\r\nContent-Length: 60000000\r\n\r\n" + strings.Repeat("1", 4<<20),
+		"a long body in chunks":      reportHead + "Req-Id: b5\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("1", 0x20000) + "\r\n0\r\n\r\n",
+		"chunks without end":         reportHead + "Req-Id: b6\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+		"length and chunks":          reportHead + fmt.Sprintf("Req-Id: b7\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 5+len(hidden)) + hidden,
+		"chunks and length":          reportHead + fmt.Sprintf("Req-Id: b8\r\nTransfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n0\r\n\r\n", 5+len(hidden)) + hidden,
+		"a request behind chunks":    reportHead + "Req-Id: b9\r\nTransfer-Encoding: chunked\r\nX: y\r\nX : z\r\n\r\n0\r\n\r\n" + hidden,
+		"two lengths":                reportHead + "Req-Id: b10\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n123",
+		"a request behind a request": tile("b11") + hidden,
+		"a length too short":         strings.Replace(report("b12", "12345"), ": 5", ": 3", 1),
+		"bare line feeds":            strings.ReplaceAll(tile("b13"), "\r\n", "\n"),
+		"a class that is none":       strings.ReplaceAll(tile("b14"), "tile", "tiles"),
+		"two classes":                strings.Replace(tile("b15"), "Kind: tile", "Kind: report", 1),
+		"a deadline that is none":    strings.Replace(tile("b16"), "7000m", "soon", 1),
+		"a negative deadline":        strings.Replace(tile("b17"), "7000m", "-5m", 1),
+		"no id":                      tileHead + "\r\n",
+		"two ids":                    tileHead + "Req-Id: b18\r\nReq-Id: b19\r\n\r\n",
+		"another method":             strings.Replace(tile("b20"), "GET", "PUT", 1),
+		"OPTIONS":                    "OPTIONS * HTTP/1.1\r\nHost: b\r\n\r\n",
+	}
+	for name, text := range bad {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := dial(t, s)
+			begun := time.Now()
+			go io.WriteString(c, text)
+			if status, _ := read(t, c); status != 0 && status < 400 {
+				t.Errorf("status %d", status)
+			}
+			if took := time.Since(begun); took > 2*requestPatience {
+				t.Errorf("took %v", took)
+			}
+		})
+	}
+	t.Run("usual clients", func(t *testing.T) {
+		t.Parallel()
+		c := dial(t, s)
+		for i := range 200 {
+			id, text := fmt.Sprintf("good-%d", i), ""
+			if i%2 == 0 {
+				text = tile(id)
+			} else {
+				text = report(id, strings.Repeat("x", i*300))
+			}
+			io.WriteString(c, text)
+			if status, body := read(t, c); status != 200 || body != id {
+				t.Fatalf("request %d: status %d, body %q", i, status, body)
+			}
+		}
+	})
+	t.Cleanup(func() {
+		if id := reached.Load(); id != nil {
+			t.Errorf("request %q was sent on", *id)
+		}
+	})
+}
+
+// An id that is in use is not sent on a second time; its owner is served.
+func TestIDInUse(t *testing.T) {
+	begun, release := make(chan string, 10), make(chan struct{})
+	addr := listenEndpoint(t, echo(func(r *http.Request) {
+		begun <- r.Header.Get("Req-Id")
+		<-release
+	}))
+	s := start(t, nil, addr)
+	owner := dial(t, s)
+	io.WriteString(owner, tile("same"))
+	<-begun
+	for range 2 { // while it is open, and once it has been answered
+		thief := dial(t, s)
+		io.WriteString(thief, tile("same"))
+		if status, _ := read(t, thief); status != http.StatusConflict {
+			t.Errorf("the id's second user is answered %d", status)
+		}
+		select {
+		case <-release:
+		default:
+			close(release)
+			if status, body := read(t, owner); status != 200 || body != "same" {
+				t.Errorf("its owner is answered %d %q", status, body)
+			}
+		}
+	}
+	if len(begun) > 0 {
+		t.Error("the id went out twice")
+	}
+}
+
+// A crowd of connections that say nothing, or never end what they say, takes
+// neither the descriptors nor the connections of those who use theirs.
+func TestSilentCrowd(t *testing.T) {
+	s := start(t, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	c := dial(t, s)
+	io.WriteString(c, tile("first"))
+	if status, _ := read(t, c); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	for i := range 2 * s.conns.limit {
+		silent := dial(t, s)
+		if i%2 == 1 {
+			io.WriteString(silent, "GET /tile")
+		}
+	}
+	io.WriteString(c, tile("second"))
+	if status, _ := read(t, c); status != 200 {
+		t.Errorf("a connection in use is answered %d in the crowd", status)
+	}
+	late := dial(t, s)
+	io.WriteString(late, tile("third"))
+	if status, _ := read(t, late); status != 200 {
+		t.Errorf("a new connection is answered %d in the crowd", status)
+	}
+	if all, _, _ := s.conns.count(time.Time{}); all > s.conns.limit {
+		t.Errorf("%d connections are held, the limit is %d", all, s.conns.limit)
+	}
+}
+
+// A request with its body in chunks is as good as any other.
+func TestChunkedRequest(t *testing.T) {
+	var body atomic.Pointer[[]byte]
+	addr := listenEndpoint(t, func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		text, _ := io.ReadAll(r.Body)
+		body.Store(&text)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	c := dial(t, start(t, nil, addr))
+	io.WriteString(c, reportHead+"Req-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	if status, _ := read(t, c); status != 200 || !bytes.Equal(*body.Load(), []byte("abcde")) {
+		t.Errorf("status %d, the endpoint got %q", status, *body.Load())
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -13,11 +13,10 @@
 	"ploverusher/policy"
 )
 
-// Request is what is written to an endpoint. Its body is kept in blocks and
-// may be written more than once.
+// Request is what is written to an endpoint, maybe more than once.
 type Request struct {
 	Head []byte // request line and headers, up to the deadline's value
-	Body [][]byte
+	Body []byte
 }
 
 const (
@@ -145,11 +144,8 @@
 
 func startWrite(c *conn, req *Request, deadline time.Time) *write {
 	head := fmt.Appendf(bytes.Clone(req.Head), "%du\r\n\r\n", max(time.Until(deadline).Microseconds(), 1))
-	parts := append(net.Buffers{head}, req.Body...)
-	total := int64(0)
-	for _, b := range parts {
-		total += int64(len(b))
-	}
+	parts := net.Buffers{head, req.Body}
+	total := int64(len(head) + len(req.Body))
 	w := &write{done: make(chan struct{})}
 	run := func() {
 		defer close(w.done)
