upstream: read answers whole, bounded and checked, before any is passed on

Connections were pooled by address, so a new endpoint could inherit an old one's, and a byte behind an answer was only looked for in the reader's buffer.

Now a head has 8 KiB, a body 64 KiB, and all of it 150 ms from its first byte; what can't be an answer is known by its first bytes. Streaming is gone. The pool is keyed by id and address, looks at the socket before it keeps a connection and before it uses one, and lets each rest 5 ms. Idle connections to endpoints that leave are closed at once.

Ruled out by logging what stood behind good answers: it was random bytes or a copy, never the rest of a body, so such an answer is served and only its connection given up.

--- a/internal/sidecar/driver.go
+++ b/internal/sidecar/driver.go
@@ -48,14 +48,12 @@
 	n        int
 	endpoint policy.EndpointID
 	cancel   context.CancelCauseFunc
-	done     bool
 }
 
 // answer is what goes to the client: a status, or what an endpoint served.
 type answer struct {
 	status int
 	served upstream.Answer
-	n      int // the attempt that served
 }
 
 func newDriver(c *Config, pool *upstream.Pool, now time.Time) (*driver, error) {
@@ -176,64 +174,41 @@
 	a := &attempt{n: len(c.attempts), endpoint: s.Endpoint, cancel: cancel}
 	c.attempts = append(c.attempts, a)
 	c.open++
-	addr := "" // no such endpoint: it can't be connected to
+	var to upstream.Endpoint // no such endpoint: it can't be connected to
 	if e := d.endpoints.byID[s.Endpoint]; e != nil {
-		addr = e.addr
+		to = e.upstream()
 	}
 	go func() {
 		// Should the attempt panic, the request still needs an end.
 		result := upstream.Answer{Result: policy.ConnectionLost}
 		defer func() { d.ended(c, a, result) }()
 		defer logPanic("attempt")
-		result = d.pool.Do(ctx, addr, c.req, s.Timeout)
+		result = d.pool.Do(ctx, to, c.req, s.Timeout)
 	}()
 }
 
-// ended takes the end of an attempt, or the beginning of a long answer.
+// ended takes the end of an attempt.
 func (d *driver) ended(c *call, a *attempt, result upstream.Answer) {
 	d.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
-		if result.Rest != nil && !c.over {
-			c.over = true
-			c.answer <- answer{status: http.StatusOK, served: result, n: a.n}
-			return b.StreamStarted(now, c.id, a.n)
-		}
-		if result.Rest != nil { // another answer came first
-			result.Rest.Close()
-			result.Result = policy.CalledOff
-		}
 		if result.Result == policy.Served && !c.over {
 			c.over = true
-			c.answer <- answer{status: http.StatusOK, served: result, n: a.n}
+			c.answer <- answer{status: http.StatusOK, served: result}
 		}
 		c.slow = result.Result == policy.NoAnswer
-		return d.outcome(b, now, c, a, result.Result, result.Elapsed)
-	})
-}
-
-// streamEnded takes the end of a long answer that was passed on.
-func (d *driver) streamEnded(c *call, n int, result policy.Result, elapsed time.Duration) {
-	d.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
-		return d.outcome(b, now, c, c.attempts[n], result, elapsed)
-	})
-}
-
-func (d *driver) outcome(b *policy.Balancer, now time.Duration, c *call, a *attempt, result policy.Result, elapsed time.Duration) []policy.Action {
-	if a.done {
-		return nil
-	}
-	a.done = true
-	a.cancel(nil)
-	c.open--
-	d.forget(c)
-	return b.Outcome(now, policy.Outcome{
-		Request: c.id, Attempt: a.n, Endpoint: a.endpoint, Result: result, Complete: c.over, Elapsed: elapsed,
+		a.cancel(nil)
+		c.open--
+		d.forget(c)
+		return b.Outcome(now, policy.Outcome{
+			Request: c.id, Attempt: a.n, Endpoint: a.endpoint, Result: result.Result, Complete: c.over, Elapsed: result.Elapsed,
+		})
 	})
 }
 
 // list takes entries from discovery.
 func (d *driver) list(entries []discovery.Entry, full bool) {
 	d.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
-		return b.Endpoints(now, d.endpoints.apply(entries, full), full)
+		told := d.endpoints.apply(entries, full, d.pool.Forget)
+		return b.Endpoints(now, told, full)
 	})
 }
 
--- a/internal/sidecar/endpoints.go
+++ b/internal/sidecar/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ploverusher/internal/discovery"
+	"ploverusher/internal/upstream"
 	"ploverusher/policy"
 )
 
@@ -23,6 +24,8 @@
 	name, addr string
 }
 
+func (e *endpoint) upstream() upstream.Endpoint { return upstream.Endpoint{ID: e.name, Addr: e.addr} }
+
 func newEndpoints(kinds, zones []string) *endpoints {
 	return &endpoints{kinds, zones, map[string]*endpoint{}, map[policy.EndpointID]*endpoint{}}
 }
@@ -40,8 +43,9 @@
 	return id
 }
 
-// apply takes a list, or changes, and returns what the module is to be told.
-func (t *endpoints) apply(entries []discovery.Entry, full bool) []policy.Endpoint {
+// apply takes a list, or changes, and returns what the module is to be told. It
+// calls forget for the endpoints that are to get nothing new from now on.
+func (t *endpoints) apply(entries []discovery.Entry, full bool, forget func(upstream.Endpoint)) []policy.Endpoint {
 	told := make([]policy.Endpoint, 0, len(entries))
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -68,6 +72,9 @@
 			slog.Info("endpoint", "id", e.ID, "addr", e.Addr, "state", e.State, "started_ms", e.StartedMS)
 		}
 		told = append(told, p)
+		if known != nil && (p.Readiness != policy.Ready || known.addr != e.Addr || known.Started != p.Started) {
+			forget(known.upstream())
+		}
 		if p.Readiness == policy.Gone {
 			t.drop(known)
 			continue
@@ -80,6 +87,7 @@
 		for name, e := range t.byName {
 			if !listed[name] {
 				slog.Info("endpoint is no longer listed", "id", name)
+				forget(e.upstream())
 				t.drop(e)
 			}
 		}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -24,9 +23,7 @@
 	// answerOverdue is how long after a request's time its handler waits for
 	// the module. It always speaks before; this is against a panic in it.
 	answerOverdue = 20 * time.Millisecond
-	// clientStall ends a long answer that its client does not take any more.
-	clientStall = 30 * time.Second
-	maxDeadline = time.Hour
+	maxDeadline   = time.Hour
 	// requestPatience is for a request to come whole, from its first byte or, if
 	// it is the connection's first, from when that was made. Clients are owed an
 	// answer or a close within 3 s, however little they say. It could cut off a
@@ -102,13 +99,13 @@
 		if conn.answering() {
 			w.Header().Set("Connection", "close")
 		}
-		in.write(w, c, a)
+		write(w, a)
 	case <-r.Context().Done():
-		in.abandon(c)
+		in.driver.gone(c)
 		panic(http.ErrAbortHandler)
 	case <-overdue.C:
 		slog.Error("the module gave no answer", "request", id)
-		in.abandon(c)
+		in.driver.gone(c)
 		turnAway(w, http.StatusGatewayTimeout, errors.New("no answer"))
 	}
 }
@@ -259,63 +256,13 @@
 	return b.Bytes()
 }
 
-// abandon ends a call whose handler stops waiting for it.
-func (in *inbound) abandon(c *call) {
-	in.driver.gone(c)
-	select {
-	case a := <-c.answer: // it came at the same moment
-		if a.served.Rest != nil {
-			a.served.Rest.Close()
-			in.driver.streamEnded(c, a.n, policy.CalledOff, a.served.Elapsed)
-		}
-	default:
-	}
-}
-
 // write writes the answer.
-func (in *inbound) write(w http.ResponseWriter, c *call, a answer) {
+func write(w http.ResponseWriter, a answer) {
 	if a.status != http.StatusOK {
 		http.Error(w, http.StatusText(a.status), a.status)
 		return
 	}
 	passed(a.served.Header, func(name, value string) { w.Header().Add(name, value) })
-	if a.served.Length >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(a.served.Length, 10))
-	}
-	if a.served.Rest == nil {
-		w.Write(a.served.Body)
-		return
-	}
-	result, err := in.stream(w, a.served)
-	in.driver.streamEnded(c, a.n, result, a.served.Elapsed)
-	if err != nil {
-		// The client has to see that the answer is not whole: the connection
-		// ends before the length told, or without the last chunk.
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// stream passes a long answer on as it comes, through one buffer.
-func (in *inbound) stream(w http.ResponseWriter, a upstream.Answer) (policy.Result, error) {
-	defer a.Rest.Close()
-	rc := http.NewResponseController(w)
-	buf := make([]byte, 32<<10)
-	for part := a.Body; ; {
-		rc.SetWriteDeadline(time.Now().Add(clientStall))
-		if _, err := w.Write(part); err != nil {
-			return policy.CalledOff, err // the client left
-		}
-		if err := rc.Flush(); err != nil {
-			return policy.CalledOff, err
-		}
-		n, err := a.Rest.Read(buf)
-		part = buf[:n]
-		switch {
-		case err == io.EOF:
-			_, err = w.Write(part)
-			return policy.Served, err
-		case err != nil:
-			return policy.ConnectionLost, err
-		}
-	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.served.Body)))
+	w.Write(a.served.Body)
 }
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -26,14 +26,11 @@
 	if len(d.report) > 0 {
 		path = "/stats"
 	}
-	addr := e.addr
-	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nReq-Deadline: ", path, addr)
+	to := e.upstream()
+	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nReq-Deadline: ", path, to.Addr)
 	go func() {
 		defer logPanic("probe")
-		a := d.pool.Do(context.Background(), addr, &upstream.Request{Head: head}, probePatience)
-		if a.Rest != nil {
-			a.Rest.Close()
-		}
+		a := d.pool.Do(context.Background(), to, &upstream.Request{Head: head}, probePatience)
 		r := policy.ProbeResult{Endpoint: id, Result: a.Result, Elapsed: a.Elapsed}
 		if a.Result == policy.Served {
 			r.Report = parseReport(d.report, string(a.Body))
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"ploverusher/internal/framing"
 	"ploverusher/policy"
 )
 
@@ -20,13 +21,18 @@
 }
 
 const (
-	// MaxWhole is the longest answer that is read whole before any of it is
-	// passed on, so that one that breaks off can still be replaced.
-	MaxWhole = 64 << 10
+	// maxBody is the longest answer there is by the protocol. A longer one is
+	// no answer: it is not waited for.
+	maxBody = 64 << 10
 	// inlineWrite is what every fresh socket buffer takes without waiting.
 	inlineWrite = 8 << 10
-	// stall ends a long answer of which nothing comes any more.
-	stall = 10 * time.Second
+	// answerPatience is for an answer to come whole from its first byte. The
+	// endpoint has it all by then, so one that stops in the middle is spoilt,
+	// and the time that is left is better spent on another attempt. It could
+	// cut off good answers on a link that is slower than 64 KiB in this time.
+	answerPatience = 150 * time.Millisecond
+	// maxInterim bounds the 1xx answers ahead of one.
+	maxInterim = 8
 )
 
 var (
@@ -34,44 +40,42 @@
 	// its result is not wanted any more.
 	ErrCalledOff = errors.New("called off")
 	errTimedOut  = errors.New("timed out")
+	errStopped   = errors.New("the answer stopped in the middle")
+	errHead      = errors.New("the answer's head is no head, or too long")
+	errInterim   = errors.New("too many 1xx answers, or one that switches protocols unasked")
+	errEarly     = errors.New("the answer came before the request was written")
+	errBody      = errors.New("the answer's length is not told, or too long, or does not fit")
 )
 
 // Answer is how an attempt ended.
 type Answer struct {
 	Result  policy.Result
 	Header  http.Header
-	Body    []byte        // the whole body, or the first of a long one
-	Rest    *Rest         // what follows in a long answer, else nil
-	Length  int64         // of the whole body; -1: not known yet
-	Elapsed time.Duration // until the answer was whole, or a long one began
+	Body    []byte // whole
+	Elapsed time.Duration
 }
 
-// Do makes an attempt on the endpoint at addr and waits for its end: an
-// answer, a failure, the time-out, or the end of ctx.
-func (p *Pool) Do(ctx context.Context, addr string, req *Request, timeout time.Duration) Answer {
+// Do makes an attempt on the endpoint and waits for its end: an answer that is
+// whole, a failure, the time-out, or the end of ctx.
+func (p *Pool) Do(ctx context.Context, e Endpoint, req *Request, timeout time.Duration) Answer {
 	start := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	expiry := time.AfterFunc(timeout, func() { cancel(errTimedOut) })
-	a := p.attempt(ctx, addr, req, start.Add(timeout))
-	if !expiry.Stop() && a.Rest != nil { // it began too late
-		a.Rest.Close()
-		a = Answer{Result: policy.NoAnswer}
-	}
-	if a.Rest == nil {
-		cancel(nil)
-	}
+	defer expiry.Stop()
+	a := p.attempt(ctx, cancel, e, req, start.Add(timeout))
 	a.Elapsed = time.Since(start)
 	return a
 }
 
-func (p *Pool) attempt(ctx context.Context, addr string, req *Request, deadline time.Time) Answer {
+func (p *Pool) attempt(ctx context.Context, cancel context.CancelCauseFunc, e Endpoint, req *Request, deadline time.Time) Answer {
 	for {
-		c, err := p.get(ctx, addr)
+		c, err := p.get(ctx, e)
 		if err != nil {
 			return Answer{Result: policy.NoConnection}
 		}
 		pooled := !c.rested.IsZero()
-		a, unsent := p.exchange(ctx, c, req, deadline)
+		a, unsent := p.exchange(ctx, cancel, c, req, deadline)
 		if !unsent || !pooled || ctx.Err() != nil {
 			return a
 		}
@@ -83,35 +87,22 @@
 
 // exchange writes the request on c and reads the answer. It reports whether
 // it failed before the request's last byte was written.
-func (p *Pool) exchange(ctx context.Context, c *conn, req *Request, deadline time.Time) (a Answer, unsent bool) {
+func (p *Pool) exchange(ctx context.Context, cancel context.CancelCauseFunc, c *conn, req *Request, deadline time.Time) (a Answer, unsent bool) {
 	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	w := startWrite(c, req, deadline)
-	c.limit.N = maxHead
-	resp, err := readHead(c)
-	if err == nil {
-		c.limit.N = 1<<63 - 1
-		a, err = readAnswer(c, resp)
-	}
-	freed := release()
-	if err == nil && a.Rest != nil && freed {
-		a.Rest.pool, a.Rest.write = p, w
-		return a, false
-	}
-	if err == nil && a.Rest != nil { // given up as it began
-		err = context.Cause(ctx)
-	}
-	p.finish(c, w, err == nil && freed)
-	if err != nil {
-		return Answer{Result: failure(ctx, w.sent)}, !w.sent
+	a, keep, err := c.readAnswer(func() (stop func() bool) {
+		return time.AfterFunc(answerPatience, func() { cancel(errStopped) }).Stop
+	})
+	if err == nil && a.Result == policy.Served {
+		<-w.done // an endpoint begins when it has the last byte: else this answer is another's
+		if !w.sent {
+			err = errEarly
+		}
 	}
-	return a, false
-}
-
-// finish ends the use of c for a request: it is kept if it may be, and closed
-// with an answer or a request unfinished, or with bytes that nobody asked for.
-func (p *Pool) finish(c *conn, w *write, good bool) {
-	keep := good && c.whole && w.over() && w.sent && c.r.Buffered() == 0
-	if !keep {
+	keep = release() && keep && err == nil
+	// A connection is kept only if nothing on it is unfinished and nothing
+	// came that nobody asked for.
+	if keep = keep && w.over() && w.sent && c.quiet(); !keep {
 		c.Close() // ends a write that still waits
 	}
 	<-w.done
@@ -120,15 +111,21 @@
 	} else {
 		p.discard(c)
 	}
+	if err != nil {
+		return Answer{Result: failure(ctx, w.sent)}, !w.sent
+	}
+	return a, false
 }
 
 // failure tells what an attempt without an answer is by the protocol's table.
 func failure(ctx context.Context, sent bool) policy.Result {
-	switch {
+	switch cause := context.Cause(ctx); {
 	case !sent:
 		return policy.NoConnection
-	case errors.Is(context.Cause(ctx), errTimedOut):
+	case errors.Is(cause, errTimedOut):
 		return policy.NoAnswer
+	case errors.Is(cause, errStopped):
+		return policy.ConnectionLost
 	case ctx.Err() != nil:
 		return policy.CalledOff
 	}
@@ -169,27 +166,70 @@
 	}
 }
 
-// readHead reads the head of the answer, past those of 1xx answers.
-func readHead(c *conn) (*http.Response, error) {
-	for {
+// readHead reads the head of the answer, past those of 1xx answers. begun is
+// called at its first byte.
+func (c *conn) readHead(begun func()) (*http.Response, framing.Head, error) {
+	if _, err := c.r.Peek(1); err != nil {
+		return nil, framing.Head{}, err
+	}
+	begun()
+	for range maxInterim {
+		text, err := c.peekHead()
+		if err != nil {
+			return nil, framing.Head{}, err
+		}
+		h, err := framing.Check(text)
+		if err != nil {
+			return nil, h, err
+		}
 		resp, err := http.ReadResponse(c.r, nil)
 		if err != nil {
-			return nil, err
+			return nil, h, err
 		}
 		if resp.StatusCode >= 200 {
-			c.whole = false
-			return resp, nil
+			return resp, h, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the endpoint switched protocols unasked")
+			break
+		}
+	}
+	return nil, framing.Head{}, errInterim
+}
+
+// peekHead waits until a whole head stands in the reader's buffer. What can't
+// be one is seen as early as may be: the connection of such an answer stays
+// open, and waiting for the rest of it would use up the request's time.
+func (c *conn) peekHead() ([]byte, error) {
+	const start = "HTTP/1."
+	for n := 1; n <= framing.MaxHead; n = c.r.Buffered() + 1 {
+		if _, err := c.r.Peek(n); err != nil {
+			return nil, err
+		}
+		text, _ := c.r.Peek(c.r.Buffered())
+		if k := min(len(text), len(start)); string(text[:k]) != start[:k] {
+			return nil, errHead
+		}
+		if end := framing.End(text); end > 0 {
+			return text[:end], nil
 		}
 	}
+	return nil, errHead
 }
 
-// readAnswer reads the answer whose head is resp: whole, or as far as it takes
-// to see that it is long.
-func readAnswer(c *conn, resp *http.Response) (Answer, error) {
-	a := Answer{Result: policy.Errored, Header: resp.Header, Length: resp.ContentLength}
+// readAnswer reads an answer whole, and reports whether the connection may be
+// kept after it. patience limits the time from its first byte on, until stop.
+func (c *conn) readAnswer(patience func() (stop func() bool)) (a Answer, keep bool, err error) {
+	stop := func() bool { return true }
+	resp, head, err := c.readHead(func() { stop = patience() })
+	defer func() {
+		if !stop() && err == nil {
+			keep = false // it has been ended as it came whole
+		}
+	}()
+	if err != nil {
+		return a, false, err
+	}
+	a = Answer{Result: policy.Errored, Header: resp.Header}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		a.Result = policy.Served
@@ -198,69 +238,30 @@
 			a.Result = policy.TurnedAway
 		}
 	}
-	var err error
-	if a.Result == policy.Served && a.Length > MaxWhole {
-		first := make([]byte, 16<<10)
-		n := 0
-		for n == 0 && err == nil {
-			n, err = resp.Body.Read(first)
+	switch {
+	case head.Length > maxBody, head.Length < 0 && !head.Chunked:
+		// One that goes on to the end of its connection can't be told from one
+		// that broke off. Of an error the head has told all there is to know.
+		if a.Result == policy.Served {
+			return a, false, errBody
 		}
-		if n == 0 {
-			return a, err
+		return a, false, nil
+	case head.Length >= 0:
+		a.Body = make([]byte, head.Length)
+		_, err = io.ReadFull(resp.Body, a.Body)
+	default:
+		if a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1)); err == nil && len(a.Body) > maxBody {
+			err = errBody
 		}
-		a.Body, a.Rest = first[:n], &Rest{c: c, resp: resp}
-		return a, nil
 	}
-	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, MaxWhole+1))
 	switch {
-	case a.Result != policy.Served:
-		// The head has told all there is to know.
-		c.whole = err == nil && len(a.Body) <= MaxWhole && !resp.Close
-		return a, nil
+	case err != nil && a.Result != policy.Served:
+		return a, false, nil
 	case err != nil:
-		return a, err
-	case len(a.Body) > MaxWhole:
-		a.Rest = &Rest{c: c, resp: resp}
-	default:
-		a.Length = int64(len(a.Body))
-		c.whole = !resp.Close
+		return a, false, err
 	}
-	return a, nil
-}
-
-// Rest reads what follows the first part of a long answer. It has to be read
-// to its end or closed.
-type Rest struct {
-	pool  *Pool
-	c     *conn
-	write *write
-	resp  *http.Response
-	err   error // how it ended
-}
-
-// Read gives what has come; io.EOF only at the end of a whole answer. An
-// answer that stops in the middle, and stays open, ends after a while.
-func (r *Rest) Read(b []byte) (int, error) {
-	if r.err != nil {
-		return 0, r.err
-	}
-	r.c.SetReadDeadline(time.Now().Add(stall))
-	n, err := r.resp.Body.Read(b)
-	if err != nil {
-		r.c.whole = err == io.EOF && !r.resp.Close
-		r.end(err)
-	}
-	return n, err
-}
-
-// Close gives the answer up, if it is not over.
-func (r *Rest) Close() {
-	if r.err == nil {
-		r.end(net.ErrClosed)
-	}
-}
-
-func (r *Rest) end(err error) {
-	r.err = err
-	r.pool.finish(r.c, r.write, err == io.EOF)
+	// What stands behind an answer is nobody's: the caller finds it and gives
+	// the connection up. That the length told is too short, and this answer so
+	// not whole, would look the same; it has not been seen.
+	return a, !resp.Close, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,11 +9,13 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
+	"slices"
 	"sync"
-	"syscall"
 	"time"
+
+	"ploverusher/internal/framing"
+	"ploverusher/internal/peek"
 )
 
 // Pool keeps the connections to endpoints. It never holds more than its limit
@@ -21,11 +23,23 @@
 type Pool struct {
 	dialer  net.Dialer
 	maxIdle time.Duration
+	settle  time.Duration
 	slots   chan struct{} // one for every connection that is open or being made
 	mu      sync.Mutex
-	idle    map[string][]*conn // by address, the latest used last
+	idle    map[Endpoint][]*conn // the latest used last
 }
 
+// Endpoint is where an attempt goes. A new endpoint may stand at the address of
+// one that has gone: what is kept of the old one is not for it.
+type Endpoint struct{ ID, Addr string }
+
+// settle is how long a connection rests before it is used again. Something may
+// come behind an answer, as late as after the connection was put back, and
+// would be taken for the answer to the next request. It could cost connections
+// where one endpoint has more than one request in so long. What comes later
+// still is only noticed if it is there before the next request is written.
+const settle = 5 * time.Millisecond
+
 // idlePart is the part of the endpoints' idle time that a connection is used
 // for: they close theirs sooner than they say, and a request that crosses the
 // close is lost.
@@ -37,29 +51,25 @@
 	return &Pool{
 		dialer:  net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
 		maxIdle: time.Duration(float64(idle) * idlePart),
+		settle:  settle,
 		slots:   make(chan struct{}, limit),
-		idle:    map[string][]*conn{},
+		idle:    map[Endpoint][]*conn{},
 	}
 }
 
-// maxHead bounds an answer's head, those of 1xx answers before it included.
-const maxHead = 1 << 20
-
 // conn is a connection to an endpoint.
 type conn struct {
 	*net.TCPConn
-	addr   string
-	limit  io.LimitedReader // between the socket and r: bounds a head
-	r      *bufio.Reader
-	rested time.Time // idle since; zero: new
-	whole  bool      // the latest answer came whole and lets the connection stand
+	to     Endpoint
+	r      *bufio.Reader // holds the longest head there may be
+	rested time.Time     // idle since; zero: new
 }
 
 var errNoSlot = errors.New("all upstream connections are in use")
 
-// get takes an idle connection to addr that is still good, or makes one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
-	for c := p.pop(addr); c != nil; c = p.pop(addr) {
+// get takes an idle connection to e that is still good, or makes one.
+func (p *Pool) get(ctx context.Context, e Endpoint) (*conn, error) {
+	for c := p.pop(e); c != nil; c = p.pop(e) {
 		if time.Since(c.rested) < p.maxIdle && c.quiet() {
 			return c, nil
 		}
@@ -68,15 +78,12 @@
 	if err := p.reserve(ctx); err != nil {
 		return nil, err
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := p.dialer.DialContext(ctx, "tcp", e.Addr)
 	if err != nil {
 		<-p.slots
 		return nil, err
 	}
-	c := &conn{TCPConn: nc.(*net.TCPConn), addr: addr}
-	c.limit.R = c.TCPConn
-	c.r = bufio.NewReader(&c.limit)
-	return c, nil
+	return &conn{TCPConn: nc.(*net.TCPConn), to: e, r: bufio.NewReaderSize(nc, framing.MaxHead)}, nil
 }
 
 // reserve makes room for one more connection, at the cost of the one idle
@@ -103,16 +110,18 @@
 	}
 }
 
-func (p *Pool) pop(addr string) *conn {
+// pop takes the connection to e that was used last, of those that have settled.
+func (p *Pool) pop(e Endpoint) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[e]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; time.Since(c.rested) >= p.settle {
+			p.setIdle(e, slices.Delete(list, i, i+1))
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.setIdle(addr, list[:len(list)-1])
-	return c
+	return nil
 }
 
 func (p *Pool) popOldest() *conn {
@@ -125,16 +134,28 @@
 		}
 	}
 	if oldest != nil {
-		p.setIdle(oldest.addr, p.idle[oldest.addr][1:])
+		p.setIdle(oldest.to, p.idle[oldest.to][1:])
 	}
 	return oldest
 }
 
-func (p *Pool) setIdle(addr string, list []*conn) {
+func (p *Pool) setIdle(e Endpoint, list []*conn) {
 	if len(list) == 0 {
-		delete(p.idle, addr)
+		delete(p.idle, e)
 	} else {
-		p.idle[addr] = list
+		p.idle[e] = list
+	}
+}
+
+// Forget closes the idle connections to an endpoint that gets no more requests.
+// Those in use are closed some time after they have come back.
+func (p *Pool) Forget(e Endpoint) {
+	p.mu.Lock()
+	list := p.idle[e]
+	delete(p.idle, e)
+	p.mu.Unlock()
+	for _, c := range list {
+		p.discard(c)
 	}
 }
 
@@ -144,7 +165,7 @@
 	c.rested = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[c.to] = append(p.idle[c.to], c)
 }
 
 func (p *Pool) discard(c *conn) {
@@ -167,9 +188,9 @@
 func (p *Pool) popExpired() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, list := range p.idle {
+	for e, list := range p.idle {
 		if c := list[0]; time.Since(c.rested) >= p.maxIdle {
-			p.setIdle(addr, list[1:])
+			p.setIdle(e, list[1:])
 			return c
 		}
 	}
@@ -183,16 +204,6 @@
 // guards against endpoints that close early, or send what nobody asked for:
 // that would be taken for the answer to the next request.
 func (c *conn) quiet() bool {
-	raw, err := c.SyscallConn()
-	if err != nil || c.r.Buffered() > 0 {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	n, closed := peek.Peek(c.TCPConn)
+	return n == 0 && !closed && c.r.Buffered() == 0
 }
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,193 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ploverusher/policy"
+)
+
+// long is a time-out that no attempt here is to reach.
+const long = 30 * time.Second
+
+// endpoint serves each connection by hand; it stays open until the test ends.
+func endpoint(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		close(done)
+		l.Close()
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+				<-done
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func request(id string) *Request {
+	return &Request{Head: []byte("GET /tile HTTP/1.1\r\nHost: b\r\nReq-Id: " + id + "\r\nReq-Deadline: ")}
+}
+
+// An answer that is spoilt in any way is a failed attempt that may have run,
+// long before the time is up, and its connection is not used again. One that is
+// whole is served whatever comes ahead of it or behind.
+func TestAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		result policy.Result
+		body   string
+	}{
+		"whole":            {ok + "Content-Length: 2\r\n\r\nok", policy.Served, "ok"},
+		"empty":            {ok + "Content-Length: 0\r\n\r\n", policy.Served, ""},
+		"chunks":           {ok + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", policy.Served, "ok"},
+		"1xx ahead":        {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok", policy.Served, "ok"},
+		"a copy behind":    {strings.Repeat(ok+"Content-Length: 2\r\n\r\nok", 2), policy.Served, "ok"},
+		"noise behind":     {ok + "Content-Length: 2\r\n\r\nok\x00\xff", policy.Served, "ok"},
+		"a report of junk": {ok + "Srv-Load: \xff=;;;\r\nContent-Length: 2\r\n\r\nok", policy.Served, "ok"},
+		"declined":         {"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", policy.TurnedAway, ""},
+		"overloaded":       {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", policy.Errored, ""},
+		"an error":         {"HTTP/1.1 500 No\r\nContent-Length: 900\r\n\r\nsome", policy.Errored, ""},
+		"noise":            {"\x03\x8f\xff\x00\x17\x42\x11", policy.ConnectionLost, ""},
+		"a head of junk":   {ok + "\x80\x81\r\n\r\n", policy.ConnectionLost, ""},
+		"half a head":      {ok + "Content-Len", policy.ConnectionLost, ""},
+		"a head for ever":  {ok + strings.Repeat("A: b\r\n", 100000), policy.ConnectionLost, ""},
+		"1xx for ever":     {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 10000), policy.ConnectionLost, ""},
+		"half a body":      {ok + "Content-Length: 20\r\n\r\nok", policy.ConnectionLost, ""},
+		"half a chunk":     {ok + "Transfer-Encoding: chunked\r\n\r\n20\r\nok", policy.ConnectionLost, ""},
+		"3 GB":             {ok + "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20), policy.ConnectionLost, ""},
+		"chunks for ever":  {ok + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 100), policy.ConnectionLost, ""},
+		"two lengths":      {ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok?", policy.ConnectionLost, ""},
+		"length and codin": {ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", policy.ConnectionLost, ""},
+		"negative length":  {ok + "Content-Length: -5\r\n\r\nok", policy.ConnectionLost, ""},
+		"no length":        {ok + "\r\nok", policy.ConnectionLost, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := NewPool(4, time.Second, time.Minute)
+			addr := endpoint(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					io.WriteString(conn, c.answer)
+				}
+			})
+			a := p.Do(context.Background(), Endpoint{"s", addr}, request("1"), long)
+			if a.Result != c.result || c.result == policy.Served && string(a.Body) != c.body {
+				t.Errorf("result %v with body %q, want %v with %q", a.Result, a.Body, c.result, c.body)
+			}
+			if a.Elapsed > long/2 {
+				t.Errorf("took %v", a.Elapsed)
+			}
+			if c.result == policy.ConnectionLost && p.Open() > 0 {
+				t.Error("the connection is kept")
+			}
+		})
+	}
+}
+
+// What comes behind an answer after its connection was put back is not taken
+// for the answer to the next request: a connection is not used again at once,
+// nor ever when something is there to be read.
+func TestLateBytesBehind(t *testing.T) {
+	var conns atomic.Int32
+	behind, sent := make(chan struct{}), make(chan struct{})
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", conns.Add(1))
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, answer)
+			if <-behind; conns.Load() == 1 {
+				io.WriteString(c, answer)
+			}
+			sent <- struct{}{}
+		}
+	})
+	p := NewPool(4, time.Second, time.Minute)
+	do := func(want string) {
+		t.Helper()
+		a := p.Do(context.Background(), Endpoint{"s", addr}, request("1"), long)
+		if a.Result != policy.Served || string(a.Body) != want {
+			t.Fatalf("result %v with body %q, want that of connection %s", a.Result, a.Body, want)
+		}
+	}
+	p.settle = 0
+	do("1")
+	behind <- struct{}{}
+	<-sent
+	do("2")
+	behind <- struct{}{}
+	<-sent
+	do("2") // nothing came behind
+	p.settle = time.Hour
+	behind <- struct{}{}
+	<-sent
+	do("3")
+}
+
+// A new endpoint at the address of another gets none of its connections, and
+// those of an endpoint that is gone are closed at once.
+func TestAddressTakenOver(t *testing.T) {
+	var conns atomic.Int32
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := NewPool(4, time.Second, time.Minute)
+	for _, id := range []string{"old", "new"} {
+		if a := p.Do(context.Background(), Endpoint{id, addr}, request("1"), long); a.Result != policy.Served {
+			t.Fatalf("result %v", a.Result)
+		}
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections for two endpoints", n)
+	}
+	p.Forget(Endpoint{"old", addr})
+	if n := p.Open(); n != 1 {
+		t.Errorf("%d connections are kept, want that to the new endpoint alone", n)
+	}
+}
+
+// An attempt called off ends at once and takes its connection along.
+func TestCalledOff(t *testing.T) {
+	got := make(chan struct{})
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+		http.ReadRequest(r)
+		close(got)
+	})
+	p := NewPool(4, time.Second, time.Minute)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		<-got
+		cancel(ErrCalledOff)
+	}()
+	if a := p.Do(ctx, Endpoint{"s", addr}, request("1"), long); a.Result != policy.CalledOff || p.Open() != 0 {
+		t.Errorf("result %v, %d connections open", a.Result, p.Open())
+	}
+}
