--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -35,8 +35,10 @@
 }
 
 const (
-	maxAnswer  = 16 << 20 // bytes: bounds what a registry gone wrong can make us hold
-	maxEntries = 1 << 14
+	// What a registry gone wrong can make us hold, of memory that may be 32 MB in all.
+	maxAnswer  = 2 << 20 // bytes
+	maxHead    = 16 << 10
+	maxEntries = 1 << 12
 	pieceGap   = time.Second            // an answer that pauses for longer has broken off
 	entryGap   = 100 * time.Millisecond // entries that came whole are told when the rest takes longer
 )
@@ -120,9 +122,11 @@
 	return &Client{
 		base: "http://" + addr + "/registry/instances",
 		http: http.Client{Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxConnsPerHost:    2,
-			DisableCompression: true,
+			DialContext:     (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxConnsPerHost: 2,
+
+			MaxResponseHeaderBytes: maxHead,
+			DisableCompression:     true,
 		}},
 	}
 }
