policy: tell a refused client when to come back

Cause: carryOut (driver.go) answered 503 with no Retry-After and the module had nothing to say of it, so refused clients came again at once, up to three times. Now Refuse carries a time: half of what is left of the request's time, by the part that is refused, a tenth at least. A refusal still goes out at once.

The test gets no Retry-After without the change.

--- a/internal/sidecar/driver.go
+++ b/internal/sidecar/driver.go
@@ -54,6 +54,7 @@
 type answer struct {
 	status int
 	served upstream.Answer
+	after  time.Duration // when to come back; 0: not told
 }
 
 func newDriver(c *Config, pool *upstream.Pool, now time.Time) (*driver, error) {
@@ -99,7 +100,7 @@
 	case policy.Send:
 		d.send(a)
 	case policy.Refuse:
-		d.conclude(d.calls[a.Request], answer{status: http.StatusServiceUnavailable})
+		d.conclude(d.calls[a.Request], answer{status: http.StatusServiceUnavailable, after: a.After})
 	case policy.Fail:
 		c, status := d.calls[a.Request], http.StatusBadGateway
 		if c != nil && c.slow {
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -258,6 +258,9 @@
 
 // write writes the answer.
 func write(w http.ResponseWriter, a answer) {
+	if a.after > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.after.Seconds(), 'f', 3, 64))
+	}
 	if a.status != http.StatusOK {
 		http.Error(w, http.StatusText(a.status), a.status)
 		return
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -289,3 +290,17 @@
 		t.Errorf("status %d, the endpoint got %q", status, *body.Load())
 	}
 }
+
+// A refusal is given at once and tells when to come back.
+func TestRefusal(t *testing.T) {
+	c := dial(t, start(t, nil)) // no endpoint is known
+	io.WriteString(c, tile("r"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 || after > 7 {
+		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -326,6 +326,9 @@
 	case policy.Refuse:
 		dst = append(dst, "bounce"...)
 		num("xid", uint32(a.Request))
+		if a.After > 0 {
+			span("cool_down_ms", a.After)
+		}
 	case policy.Fail:
 		dst = append(dst, "lose"...)
 		num("xid", uint32(a.Request))
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -35,8 +35,11 @@
 		Endpoint EndpointID
 		Timeout  time.Duration
 	}
-	// Refuse ends a request and promises that a retry is harmless.
-	Refuse struct{ Request RequestID }
+	// Refuse ends a request and promises that a retry is harmless, best After.
+	Refuse struct {
+		Request RequestID
+		After   time.Duration
+	}
 	// Fail ends a request without a promise.
 	Fail struct{ Request RequestID }
 	// Cancel calls off one attempt.
--- a/policy/request.go
+++ b/policy/request.go
@@ -50,6 +50,7 @@
 const (
 	dedupMargin = 0.15 // part of a key's window left unused: a resend has a way to go
 	overduePart = 0.7  // of the aim, after which an attempt still out counts as late
+	comeBack    = 0.5  // of the time left, after which a refused client may try again where all are refused
 	retryNeeds  = 0.8  // part of the usual answer time that has to be left for another attempt
 )
 
@@ -92,11 +93,6 @@
 	return n
 }
 
-// tried reports whether an attempt went to s.
-func (r *request) tried(s *server) bool {
-	return r.count(func(a *attempt) bool { return a.server == s }) > 0
-}
-
 // Request takes a request from a client.
 func (b *Balancer) Request(now time.Duration, q Request) []Action {
 	b.begin(now)
@@ -133,7 +129,8 @@
 	f := &b.fleet
 	f.parts += f.served.value / math.Max((1-f.served.value)*float64(len(f.table)), 1e-3) // no limit while all are served
 	ok := func(s *server) bool { return b.maySend(r, s) && !f.spared(s, b.now, &b.set) }
-	x, y := b.draw(r, func(s *server) bool { return !r.tried(s) && ok(s) })
+	untried := func(s *server) bool { return r.count(func(a *attempt) bool { return a.server == s }) == 0 }
+	x, y := b.draw(r, func(s *server) bool { return untried(s) && ok(s) })
 	if x == nil && len(r.attempts) > 0 {
 		x = b.fleet.scan(b.random, ok)
 	}
@@ -223,7 +220,8 @@
 // finish answers with a refusal where that is legal, else with a failure.
 func (b *Balancer) finish(r *request) {
 	if b.mayRefuse(r) {
-		b.do(Refuse{Request: r.ID})
+		after := math.Max(1-b.adm.level, leastAdmitted) * comeBack * float64(r.deadline()-b.now)
+		b.do(Refuse{r.ID, max(time.Duration(after), 0)})
 	} else {
 		b.do(Fail{Request: r.ID})
 	}
@@ -232,12 +230,10 @@
 
 // conclude notes the answer: what is out is called off, then all is forgotten.
 func (b *Balancer) conclude(r *request) {
-	if !r.answered {
-		r.answered, r.held = true, false
-		if !r.streamed {
-			b.callOff(r, -1)
-		}
+	if !r.answered && !r.streamed {
+		b.callOff(r, -1)
 	}
+	r.answered, r.held = true, false
 	if r.open() == 0 {
 		delete(b.requests, r.ID)
 	}
