policy: send a second copy of a request whose endpoint has fallen silent

Cause: an attempt had until the request's deadline (send, request.go), and at 0.7 of the aim overdue only took it into health and pressure. So a request on a connection that fell silent, or one never answered, was late or lost whatever time was left.

Now overdue sends such a request again, if the client is calm, the retry budget has one, nothing else of it is out, and it has been out for 2.5 times what one of its hinted work usually takes, so that a heavy request is no silent one. Where and while keyed repeats are discarded holds as before.

Without the change the test's request fails at its deadline.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -304,3 +304,38 @@
 		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
 	}
 }
+
+// A request whose endpoint says nothing gets a second copy, on another endpoint
+// and well before its time is up, and is answered once.
+func TestSilentEndpoint(t *testing.T) {
+	var n atomic.Int32
+	gone := make(chan struct{})
+	serve := func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if n.Add(1) == 1 {
+			br.ReadByte() // the attempt is given up once the other has answered
+			close(gone)
+			return
+		}
+		id := r.Header.Get("Req-Id")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+	}
+	s := start(t, func(c *Config) {
+		c.Settings.Policy.SecondCopies = true
+		c.Settings.Policy.Classes[0].Aim = 100 * time.Millisecond
+	}, listenEndpoint(t, serve), listenEndpoint(t, serve))
+	c := dial(t, s)
+	begun := time.Now()
+	io.WriteString(c, tile("silent"))
+	if status, body := read(t, c); status != 200 || body != "silent" || time.Since(begun) > 6*time.Second {
+		t.Errorf("status %d, body %q after %v", status, body, time.Since(begun))
+	}
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Error("the first attempt is still out")
+	}
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -50,6 +50,7 @@
 const (
 	dedupMargin = 0.15 // part of a key's window left unused: a resend has a way to go
 	overduePart = 0.7  // of the aim, after which an attempt still out counts as late
+	silentAfter = 2.5  // usual answer times of such a request after which its answer may never come
 	comeBack    = 0.5  // of the time left, after which a refused client may try again where all are refused
 	retryNeeds  = 0.8  // part of the usual answer time that has to be left for another attempt
 )
@@ -129,8 +130,7 @@
 	f := &b.fleet
 	f.parts += f.served.value / math.Max((1-f.served.value)*float64(len(f.table)), 1e-3) // no limit while all are served
 	ok := func(s *server) bool { return b.maySend(r, s) && !f.spared(s, b.now, &b.set) }
-	untried := func(s *server) bool { return r.count(func(a *attempt) bool { return a.server == s }) == 0 }
-	x, y := b.draw(r, func(s *server) bool { return untried(s) && ok(s) })
+	x, y := b.draw(r, func(s *server) bool { return r.count(func(a *attempt) bool { return a.server == s }) == 0 && ok(s) })
 	if x == nil && len(r.attempts) > 0 {
 		x = b.fleet.scan(b.random, ok)
 	}
@@ -179,13 +179,17 @@
 	}
 }
 
-// overdue judges attempts still out. Failure answered: in a burst answers tell too late.
+// overdue judges attempts still out: in a burst answers tell too late. Failure
+// answered: an endpoint fell silent, so what is far beyond its work is sent again.
 func (b *Balancer) overdue(r *request) {
+	again := b.calm() && b.adm.retries >= 1
 	for i := 0; r != nil && i < len(r.attempts); i++ {
 		if a := &r.attempts[i]; a.open && !a.late && b.now >= a.due {
 			a.late = true
 			b.fleet.observe(a.server, b.now, true)
 			b.adm.outcome(b.now, true)
+			again = again && r.open() == 1 && (b.now-a.sent).Seconds() > silentAfter*b.expected(r) &&
+				(r.deadline()-b.now).Seconds() > retryNeeds*b.expected(r) && b.attempt(r)
 		}
 	}
 }
@@ -256,8 +260,7 @@
 		return b.actions
 	}
 	a := &r.attempts[o.Attempt]
-	a.open = false
-	a.ran = !o.Result.neverRan()
+	a.open, a.ran = false, !o.Result.neverRan()
 	a.server.inFlight--
 	b.learn(r, a, o)
 	switch {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -74,11 +74,8 @@
 // validate names the first field that can't be worked with.
 func (s *Settings) validate() error {
 	for i, c := range s.Classes {
-		switch {
-		case c.Effect > Unsafe || c.Scope > ScopeCell:
-			return fmt.Errorf("settings: classes[%d] has an unknown effect or key_scope", i)
-		case c.Aim < 0 || c.Deadline < 0 || c.DedupWindow < 0:
-			return fmt.Errorf("settings: classes[%d] has a negative time", i)
+		if c.Effect > Unsafe || c.Scope > ScopeCell || min(c.Aim, c.Deadline, c.DedupWindow) < 0 {
+			return fmt.Errorf("settings: classes[%d] has an unknown effect or key_scope, or a negative time", i)
 		}
 	}
 	switch {
