upstream: take long answers while there is room, and those that end with the connection

Cause: readAnswer failed every 200 with no length, or one over 64 KiB.

One without a length is whole if it says that it ends with its connection and does; the head's check tells that, since net/http reports Close either way. Tests: long, no room, to the end; each fails without the change.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -24,6 +24,7 @@
 type Head struct {
 	Length  int64 // Content-Length; -1: there is none
 	Chunked bool
+	Close   bool // the connection ends with this message
 }
 
 var (
@@ -79,6 +80,8 @@
 				return h, errCoding
 			}
 			h.Chunked = true
+		case bytes.EqualFold(name, []byte("Connection")):
+			h.Close = h.Close || bytes.EqualFold(value, []byte("close"))
 		}
 	}
 	if h.Chunked && h.Length >= 0 {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -9,9 +9,10 @@
 		want Head
 		err  error
 	}{
-		{start + "Host: a\r\n\r\n", Head{-1, false}, nil},
-		{start + "content-length:  12 \r\n\r\n", Head{12, false}, nil},
-		{start + "Transfer-Encoding: Chunked\r\n\r\n", Head{-1, true}, nil},
+		{start + "Host: a\r\n\r\n", Head{Length: -1}, nil},
+		{start + "content-length:  12 \r\n\r\n", Head{Length: 12}, nil},
+		{start + "connection: Close\r\n\r\n", Head{Length: -1, Close: true}, nil},
+		{start + "Transfer-Encoding: Chunked\r\n\r\n", Head{Length: -1, Chunked: true}, nil},
 		{start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", Head{}, errAmbiguous},
 		{start + "transfer-encoding: chunked\r\nCONTENT-LENGTH: 0\r\n\r\n", Head{}, errAmbiguous},
 		{start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", Head{}, errLength},
--- a/internal/sidecar/driver.go
+++ b/internal/sidecar/driver.go
@@ -194,6 +194,8 @@
 		if result.Result == policy.Served && !c.over {
 			c.over = true
 			c.answer <- answer{status: http.StatusOK, served: result}
+		} else {
+			result.Free()
 		}
 		c.slow = result.Result == policy.NoAnswer
 		a.cancel(nil)
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -101,11 +101,11 @@
 		}
 		write(w, a)
 	case <-r.Context().Done():
-		in.driver.gone(c)
+		in.abandon(c)
 		panic(http.ErrAbortHandler)
 	case <-overdue.C:
 		slog.Error("the module gave no answer", "request", id)
-		in.driver.gone(c)
+		in.abandon(c)
 		turnAway(w, http.StatusGatewayTimeout, errors.New("no answer"))
 	}
 }
@@ -256,6 +256,16 @@
 	return b.Bytes()
 }
 
+// abandon ends a call whose handler stops waiting for it.
+func (in *inbound) abandon(c *call) {
+	in.driver.gone(c)
+	select {
+	case a := <-c.answer: // it came at the same moment
+		a.served.Free()
+	default:
+	}
+}
+
 // write writes the answer.
 func write(w http.ResponseWriter, a answer) {
 	if a.after > 0 {
@@ -265,6 +275,7 @@
 		http.Error(w, http.StatusText(a.status), a.status)
 		return
 	}
+	defer a.served.Free()
 	passed(a.served.Header, func(name, value string) { w.Header().Add(name, value) })
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.served.Body)))
 	w.Write(a.served.Body)
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -31,6 +31,7 @@
 	go func() {
 		defer logPanic("probe")
 		a := d.pool.Do(context.Background(), to, &upstream.Request{Head: head}, probePatience)
+		defer a.Free()
 		r := policy.ProbeResult{Endpoint: id, Result: a.Result, Elapsed: a.Elapsed}
 		if a.Result == policy.Served {
 			r.Report = parseReport(d.report, string(a.Body))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -26,12 +26,13 @@
 )
 
 // How the memory is shared out. The part that the collector keeps below
-// leaves room for what it does not count; bodies may take a part of that. The
+// leaves room for what it does not count; bodies may take parts of that. The
 // least is what the runtime needs by itself and a little more: a sidecar that
 // refuses to start is worth less than one that is short of memory.
 const (
 	heapPart    = 0.7
-	bodyPart    = 0.25
+	bodyPart    = 0.2
+	longPart    = 0.15 // for answers that are longer than the protocol has them
 	minMemoryMB = 16
 )
 
@@ -67,7 +68,7 @@
 	s := &Sidecar{
 		config: c,
 		conns:  newConnTable(int(clientPart * float64(c.Limits.Sockets))),
-		pool: upstream.NewPool(int(upstreamPart*float64(c.Limits.Sockets)),
+		pool: upstream.NewPool(int(upstreamPart*float64(c.Limits.Sockets)), int64(longPart*float64(c.Limits.MemoryMB<<20)),
 			c.Settings.ConnectTimeout, c.Settings.Policy.ConnIdle),
 	}
 	var err error
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -21,9 +21,12 @@
 }
 
 const (
-	// maxBody is the longest answer there is by the protocol. A longer one is
-	// no answer: it is not waited for.
+	// maxBody is the longest answer there is by the protocol. Longer ones have
+	// been seen from endpoints that meant them, so up to maxLong they are taken
+	// too while there is room for them; beyond that it is no answer, and not
+	// waited for.
 	maxBody = 64 << 10
+	maxLong = 1 << 20
 	// inlineWrite is what every fresh socket buffer takes without waiting.
 	inlineWrite = 8 << 10
 	// answerPatience is for an answer to come whole from its first byte. The
@@ -44,6 +47,7 @@
 	errHead      = errors.New("the answer's head is no head, or too long")
 	errInterim   = errors.New("too many 1xx answers, or one that switches protocols unasked")
 	errEarly     = errors.New("the answer came before the request was written")
+	errNoRoom    = errors.New("no room for a long answer")
 	errBody      = errors.New("the answer's length is not told, or too long, or does not fit")
 )
 
@@ -53,6 +57,16 @@
 	Header  http.Header
 	Body    []byte // whole
 	Elapsed time.Duration
+
+	free func()
+}
+
+// Free gives back what the body holds of the pool's room for long ones. It is
+// to be called once for every answer, when the body is not needed any more.
+func (a *Answer) Free() {
+	if a.free != nil {
+		a.free()
+	}
 }
 
 // Do makes an attempt on the endpoint and waits for its end: an answer that is
@@ -96,6 +110,7 @@
 	if err == nil && a.Result == policy.Served {
 		<-w.done // an endpoint begins when it has the last byte: else this answer is another's
 		if !w.sent {
+			a.Free()
 			err = errEarly
 		}
 	}
@@ -216,6 +231,13 @@
 	return nil, errHead
 }
 
+// endTold reports whether an answer without a length says that its end is that
+// of the connection. Where it does not say so, one that was spoilt on its way
+// would look the same; and one that ends by a reset is not whole in any case.
+func endTold(resp *http.Response, head framing.Head) bool {
+	return resp.ProtoMinor == 0 || head.Close
+}
+
 // readAnswer reads an answer whole, and reports whether the connection may be
 // kept after it. patience limits the time from its first byte on, until stop.
 func (c *conn) readAnswer(patience func() (stop func() bool)) (a Answer, keep bool, err error) {
@@ -238,14 +260,18 @@
 			a.Result = policy.TurnedAway
 		}
 	}
+	toEnd := head.Length < 0 && !head.Chunked // as long as the connection
 	switch {
-	case head.Length > maxBody, head.Length < 0 && !head.Chunked:
-		// One that goes on to the end of its connection can't be told from one
-		// that broke off. Of an error the head has told all there is to know.
-		if a.Result == policy.Served {
-			return a, false, errBody
+	case a.Result != policy.Served && (toEnd || head.Length > maxBody):
+		return a, false, nil // of an error the head has told all there is to know
+	case head.Length > maxLong, toEnd && !endTold(resp, head):
+		return a, false, errBody
+	case head.Length > maxBody:
+		if !c.pool.long.TryAcquire(head.Length) {
+			return a, false, errNoRoom
 		}
-		return a, false, nil
+		a.free = func() { c.pool.long.Release(head.Length) }
+		fallthrough
 	case head.Length >= 0:
 		a.Body = make([]byte, head.Length)
 		_, err = io.ReadFull(resp.Body, a.Body)
@@ -258,6 +284,7 @@
 	case err != nil && a.Result != policy.Served:
 		return a, false, nil
 	case err != nil:
+		a.Free()
 		return a, false, err
 	}
 	// What stands behind an answer is nobody's: the caller finds it and gives
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"ploverusher/internal/framing"
 	"ploverusher/internal/peek"
 )
@@ -24,7 +26,8 @@
 	dialer  net.Dialer
 	maxIdle time.Duration
 	settle  time.Duration
-	slots   chan struct{} // one for every connection that is open or being made
+	long    *semaphore.Weighted // bytes that answers over maxBody may hold together
+	slots   chan struct{}       // one for every connection that is open or being made
 	mu      sync.Mutex
 	idle    map[Endpoint][]*conn // the latest used last
 }
@@ -45,13 +48,15 @@
 // close is lost.
 const idlePart = 0.6
 
-// NewPool makes a pool of at most limit connections. An endpoint closes one
-// that was idle for so long.
-func NewPool(limit int, connectTimeout, idle time.Duration) *Pool {
+// NewPool makes a pool of at most limit connections, with room for so many
+// bytes of long answers. An endpoint closes a connection that was idle for so
+// long.
+func NewPool(limit int, room int64, connectTimeout, idle time.Duration) *Pool {
 	return &Pool{
 		dialer:  net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
 		maxIdle: time.Duration(float64(idle) * idlePart),
 		settle:  settle,
+		long:    semaphore.NewWeighted(room),
 		slots:   make(chan struct{}, limit),
 		idle:    map[Endpoint][]*conn{},
 	}
@@ -60,6 +65,7 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	*net.TCPConn
+	pool   *Pool
 	to     Endpoint
 	r      *bufio.Reader // holds the longest head there may be
 	rested time.Time     // idle since; zero: new
@@ -83,7 +89,7 @@
 		<-p.slots
 		return nil, err
 	}
-	return &conn{TCPConn: nc.(*net.TCPConn), to: e, r: bufio.NewReaderSize(nc, framing.MaxHead)}, nil
+	return &conn{TCPConn: nc.(*net.TCPConn), pool: p, to: e, r: bufio.NewReaderSize(nc, framing.MaxHead)}, nil
 }
 
 // reserve makes room for one more connection, at the cost of the one idle
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -62,6 +62,8 @@
 		"whole":            {ok + "Content-Length: 2\r\n\r\nok", policy.Served, "ok"},
 		"empty":            {ok + "Content-Length: 0\r\n\r\n", policy.Served, ""},
 		"chunks":           {ok + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", policy.Served, "ok"},
+		"long":             {ok + "Content-Length: 250000\r\n\r\n" + strings.Repeat("x", 250000), policy.Served, strings.Repeat("x", 250000)},
+		"no room for it":   {ok + "Content-Length: 350000\r\n\r\n" + strings.Repeat("x", 350000), policy.ConnectionLost, ""},
 		"1xx ahead":        {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok", policy.Served, "ok"},
 		"a copy behind":    {strings.Repeat(ok+"Content-Length: 2\r\n\r\nok", 2), policy.Served, "ok"},
 		"noise behind":     {ok + "Content-Length: 2\r\n\r\nok\x00\xff", policy.Served, "ok"},
@@ -85,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := NewPool(4, time.Second, time.Minute)
+			p := NewPool(4, 300<<10, time.Second, time.Minute)
 			addr := endpoint(t, func(conn net.Conn, r *bufio.Reader) {
 				if _, err := http.ReadRequest(r); err == nil {
 					io.WriteString(conn, c.answer)
@@ -93,7 +95,10 @@
 			})
 			a := p.Do(context.Background(), Endpoint{"s", addr}, request("1"), long)
 			if a.Result != c.result || c.result == policy.Served && string(a.Body) != c.body {
-				t.Errorf("result %v with body %q, want %v with %q", a.Result, a.Body, c.result, c.body)
+				t.Errorf("result %v with body %.20q, want %v with %.20q", a.Result, a.Body, c.result, c.body)
+			}
+			if a.Free(); !p.long.TryAcquire(300 << 10) {
+				t.Error("room is not given back")
 			}
 			if a.Elapsed > long/2 {
 				t.Errorf("took %v", a.Elapsed)
@@ -105,6 +110,36 @@
 	}
 }
 
+// An answer without a length is whole if it says that it ends with its
+// connection, and does.
+func TestAnswerToTheEnd(t *testing.T) {
+	for head, want := range map[string]policy.Result{
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n": policy.Served,
+		"HTTP/1.0 200 OK\r\n\r\n":                      policy.Served,
+		"HTTP/1.1 200 OK\r\n\r\n":                      policy.ConnectionLost,
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			http.ReadRequest(bufio.NewReader(c))
+			io.WriteString(c, head+"ok")
+		}()
+		p := NewPool(4, 300<<10, time.Second, time.Minute)
+		a := p.Do(context.Background(), Endpoint{"s", l.Addr().String()}, request("1"), long)
+		if a.Result != want || want == policy.Served && string(a.Body) != "ok" {
+			t.Errorf("%q: result %v with body %q", head, a.Result, a.Body)
+		}
+	}
+}
+
 // What comes behind an answer after its connection was put back is not taken
 // for the answer to the next request: a connection is not used again at once,
 // nor ever when something is there to be read.
@@ -124,7 +159,7 @@
 			sent <- struct{}{}
 		}
 	})
-	p := NewPool(4, time.Second, time.Minute)
+	p := NewPool(4, 300<<10, time.Second, time.Minute)
 	do := func(want string) {
 		t.Helper()
 		a := p.Do(context.Background(), Endpoint{"s", addr}, request("1"), long)
@@ -159,7 +194,7 @@
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	p := NewPool(4, time.Second, time.Minute)
+	p := NewPool(4, 300<<10, time.Second, time.Minute)
 	for _, id := range []string{"old", "new"} {
 		if a := p.Do(context.Background(), Endpoint{id, addr}, request("1"), long); a.Result != policy.Served {
 			t.Fatalf("result %v", a.Result)
@@ -181,7 +216,7 @@
 		http.ReadRequest(r)
 		close(got)
 	})
-	p := NewPool(4, time.Second, time.Minute)
+	p := NewPool(4, 300<<10, time.Second, time.Minute)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	go func() {
 		<-got
