sidecar: ask connections that stay to leave in a crowd

Ruled out by counting: refusals by the module (6), requests turned away (none), evictions of usual clients (none while it was so).

Now, from a sixth of the descriptors on, a connection's first answer ends it and the ones that rested 2 s are closed, unless something waits on them. One that has asked twice is kept.

Without the change the test finds every connection kept.

--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -134,10 +134,12 @@
 func (c *clientConn) crowded() bool { return c.extra.Load() || c.readable() }
 
 // answering marks that the answer begins: what comes from now on may be the
-// next request. It reports whether something came too soon for that.
-func (c *clientConn) answering() (crowded bool) {
+// next request. It reports whether the connection is to end with this answer:
+// because something came too soon, because where a body in chunks ended is not
+// known here, or to make room.
+func (c *clientConn) answering() (last bool) {
 	c.serving.Store(false)
-	return c.extra.Load() || c.chunked.Load()
+	return c.extra.Load() || c.chunked.Load() || c.table.packed(c)
 }
 
 // readable reports whether something waits to be read from the socket.
@@ -185,13 +187,60 @@
 type connTable struct {
 	limit int
 
+	// crowd is how many connections may have had an answer and stay before the
+	// others are asked to leave with their first one.
+	crowd int
+
 	mu    sync.Mutex
+	rest  time.Duration // mayRest
 	conns map[*clientConn]struct{}
+	kept  int  // of conns, those that have had an answer
 	full  bool // logged
 }
 
-func newConnTable(limit int) *connTable {
-	return &connTable{limit: limit, conns: map[*clientConn]struct{}{}}
+func newConnTable(limit, crowd int) *connTable {
+	return &connTable{limit: limit, crowd: crowd, rest: mayRest, conns: map[*clientConn]struct{}{}}
+}
+
+// packed reports whether c is one too many to be kept. The application may hold
+// only so many connections, and those that were opened for one request and then
+// kept for good take the place of those that would carry the next. Who has
+// asked twice uses his connection and keeps it. It could do harm where a new
+// connection costs the application much: it gets no more kept ones in a crowd.
+func (t *connTable) packed(c *clientConn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !c.answered && t.kept >= t.crowd
+}
+
+// thin closes, in a crowd, the connections that have rested for as long as they
+// may.
+func (t *connTable) thin() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	long := time.Now().Add(-t.rest).UnixNano()
+	for c := range t.conns {
+		if t.kept < t.crowd {
+			return
+		}
+		if !c.busy && c.resting.Load() && c.moved.Load() < long && !c.readable() {
+			t.close(c)
+		}
+	}
+}
+
+// close takes c out of the table and closes it.
+func (t *connTable) close(c *clientConn) {
+	c.evicted = true
+	t.remove(c)
+	c.TCPConn.Close()
+}
+
+func (t *connTable) remove(c *clientConn) {
+	if _, ok := t.conns[c]; ok && c.answered {
+		t.kept--
+	}
+	delete(t.conns, c)
 }
 
 // add takes a new connection into the table; nil if there is no room for it.
@@ -215,8 +264,8 @@
 	return c
 }
 
-// mayRest is how long a connection may rest at least, unless nothing else can
-// make room.
+// mayRest is how long a connection may rest at least, unless there is no other
+// way to make room.
 const mayRest = 2 * time.Second
 
 // evict closes the connection that is worth least: first those that never said
@@ -229,7 +278,7 @@
 // said so far: once it has been read, closing loses it. What waits unread is
 // left alone too. With nothing else there it reports false.
 func (t *connTable) evict() bool {
-	long := time.Now().Add(-mayRest).UnixNano()
+	long := time.Now().Add(-t.rest).UnixNano()
 	var worst *clientConn
 	least := 0
 	for c := range t.conns {
@@ -258,9 +307,7 @@
 	if worst == nil {
 		return false
 	}
-	worst.evicted = true
-	delete(t.conns, worst)
-	worst.TCPConn.Close()
+	t.close(worst)
 	return true
 }
 
@@ -275,10 +322,14 @@
 	defer t.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.busy, c.answered = false, true
+		if _, ok := t.conns[c]; ok && !c.answered {
+			t.kept++
+			c.answered = true
+		}
+		c.busy = false
 		c.resting.Store(len(c.head) == 0 && !c.serving.Load()) // the server reads nothing now
 	case http.StateClosed, http.StateHijacked:
-		delete(t.conns, c)
+		t.remove(c)
 		if len(t.conns) < t.limit/2 {
 			t.full = false
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 // listener, the standard streams and the runtime.
 const (
 	clientPart   = 0.55
+	crowdPart    = 0.16 // half of what the application may hold for requests
 	upstreamPart = 0.37
 	minSockets   = 32
 )
@@ -67,7 +68,7 @@
 func New(c Config) (*Sidecar, error) {
 	s := &Sidecar{
 		config: c,
-		conns:  newConnTable(int(clientPart * float64(c.Limits.Sockets))),
+		conns:  newConnTable(int(clientPart*float64(c.Limits.Sockets)), int(crowdPart*float64(c.Limits.Sockets))),
 		pool: upstream.NewPool(int(upstreamPart*float64(c.Limits.Sockets)), int64(longPart*float64(c.Limits.MemoryMB<<20)),
 			c.Settings.ConnectTimeout, c.Settings.Policy.ConnIdle),
 	}
@@ -166,6 +167,7 @@
 			return
 		case <-tick.C:
 			s.pool.Sweep()
+			s.conns.thin()
 		}
 	}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -339,3 +339,42 @@
 		t.Error("the first attempt is still out")
 	}
 }
+
+// Connections that ask once and stay do not use up those that the application
+// may hold: past a number the answer to a first request ends its connection,
+// and those that have rested long are closed. One that asks again is kept.
+func TestCrowdThatStays(t *testing.T) {
+	s := start(t, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	ask := func(c net.Conn, id string) (closes bool) {
+		t.Helper()
+		io.WriteString(c, tile(id))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%s: %v, error %v", id, resp, err)
+		}
+		return resp.Close
+	}
+	usual := dial(t, s)
+	ask(usual, "usual")
+	ended := 0
+	for i := range s.conns.limit {
+		if ask(dial(t, s), fmt.Sprint("once-", i)) {
+			ended++
+		}
+		if ask(usual, fmt.Sprint("again-", i)) {
+			t.Fatal("a connection in use is closed in the crowd")
+		}
+	}
+	if kept := s.conns.limit - ended; kept > s.conns.crowd {
+		t.Errorf("%d connections that asked once are kept, want %d at most", kept, s.conns.crowd)
+	}
+	s.conns.mu.Lock()
+	s.conns.rest = 0 // they all have rested long
+	s.conns.mu.Unlock()
+	s.conns.thin()
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	if s.conns.kept >= s.conns.crowd {
+		t.Errorf("%d connections are left of the crowd, want less than %d", s.conns.kept, s.conns.crowd)
+	}
+}
