http1: read what came while the process stood still

A process that stood still for longer than a connection may rest (5 s, or 2.5 s before its first request) found its timers due when it went on, and closed with a reset the connections on which a request had come meanwhile: requests lost without an answer.

A read that ends 50 ms or more after it was due, with something there to be read, now reads it. Timers that go off while the process runs end reads as before, so a client that trickles gains nothing.

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 	serving atomic.Bool // a request was handed out and its answer has not begun
 	extra   atomic.Bool // something came behind that request
 
+	due     atomic.Int64 // Unix nanoseconds at which reading is to end; 0: it is not
 	moved   atomic.Int64 // Unix nanoseconds when bytes last went either way
 	begun   atomic.Int64 // when the latest request's first byte came, or the connection
 	heard   atomic.Bool  // something was read from it
@@ -69,6 +71,9 @@
 // receive reads from the socket.
 func (c *clientConn) receive(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.overslept() {
+		n, err = c.TCPConn.Read(b)
+	}
 	if n > 0 {
 		now := time.Now().UnixNano()
 		if c.heard.Swap(true); c.resting.Swap(false) || len(c.head) == 0 && c.left == 0 && !c.through {
@@ -79,6 +84,39 @@
 	return n, err
 }
 
+// A read that ends so long after it was due was not waiting: the process stood
+// still, or had no processor. It may then take that long once more.
+const oversleep = 50 * time.Millisecond
+
+// overslept reports whether the process slept through the time at which reading
+// was due to end while something came, and lets it be read: a timer that went
+// off in the meantime would have the server close the connection on a request
+// that had come in time. A client that sends slowly gains nothing by it, as the
+// timer goes off when it should while the process runs. It could do harm on a
+// machine that is always short of processors, where a slow sender would have
+// the oversleep more each time.
+func (c *clientConn) overslept() bool {
+	due := time.Unix(0, c.due.Load())
+	now := time.Now()
+	if due.Before(longAgo) || now.Sub(due) < oversleep || !c.readable() {
+		return false
+	}
+	return c.SetReadDeadline(now.Add(oversleep)) == nil
+}
+
+// longAgo is after the deadlines by which net/http calls off a read.
+var longAgo = time.Unix(1e9, 0)
+
+// SetReadDeadline sets when reading is due to end.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.due.Store(0)
+	} else {
+		c.due.Store(t.UnixNano())
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // unreadable stands for a head that was refused: the server answers it with 400
 // and closes, and is spared the reading of 8 KB of noise.
 const unreadable = "unreadable\r\n\r\n"
