spokegw check: tell every fault of the configuration, with its line

Of the JSON the first fault was told, and a value that the module refuses (send_cap 0) without a line.

A configuration that is refused is now read once more for everything that is wrong with it: text that is no JSON, values of another kind, keys that are there twice, values that can't be worked with. What was accepted is accepted as before, since it is read so only after a refusal. Fault moves from operator to a package of its own for that.

--- a/cmd/spokegw/main_test.go
+++ b/cmd/spokegw/main_test.go
@@ -141,8 +141,13 @@
 	classless := write("classless.toml", "[[service]]\nname = 'maps'\n[[team]]\nname = 'a'\n[[team.allow]]\nservice = 'maps'\nclasses = ['order']\n")
 	config := write("config.json", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"fleet_size":1,"limits":{"send_cap":1},"classes":[{"name":"tile","effect":"read_like"}]}}`)
 	syntax := write("syntax.json", "{\"listen\":\"127.0.0.1:0\",\n\"name\":\"n\",\n\"limits\":}\n")
-	kind := write("kind.json", "{\"listen\":\"127.0.0.1:0\",\n\"settings\":\n{\n\"fleet_size\":\"many\"}}\n")
-	value := write("value.json", `{"settings":{"fleet_size":1,"classes":[{"name":"tile","effect":"read_like"}]}}`)
+	kind := write("kind.json", "{\"listen\":\"127.0.0.1:0\",\n\"settings\":\n{\n\"fleet_size\":\"many\",\n\"classes\":[{},{\"aim_ms\":[]}]},\n\"limits\":3}\n")
+	value := write("value.json", `{"settings":{"fleet_size":1,"classes":[
+{"name":"tile"},
+{"effect":"read_like","dedup_window_ms":-1}]},
+"limits":{"sockets":3},
+"seed":"x"}`)
+	bare := write("bare.json", `{"settings":{"fleet_size":1,"limits":{"send_cap":1},"classes":[{"effect":"read_like"}]}}`)
 	for _, c := range []struct {
 		env  []string
 		args []string
@@ -163,10 +168,13 @@
 		{nil, []string{"check", "--operator", classless}, 0, []string{"no fault"}},
 		{[]string{"NODE_CONFIG=" + config}, []string{"check", "--operator", classless}, 1, []string{classless + ":7: team[0].allow[0].classes", "it has tile"}},
 		{[]string{"NODE_CONFIG=" + config, "SPOKEGW_OPERATOR=" + good}, []string{"check"}, 0, []string{"no fault"}},
-		{[]string{"NODE_CONFIG=" + bad, "SPOKEGW_OPERATOR=" + bad}, []string{"check"}, 1, []string{"configuration " + bad, bad + ":3"}},
-		{[]string{"NODE_CONFIG=" + syntax}, []string{"check"}, 1, []string{"configuration " + syntax + ": line 3: "}},
-		{[]string{"NODE_CONFIG=" + kind}, []string{"check"}, 1, []string{"configuration " + kind + ": line 4: ", "fleet_size"}},
-		{[]string{"NODE_CONFIG=" + value}, []string{"check"}, 1, []string{"send_cap 0 is below 1"}},
+		{[]string{"NODE_CONFIG=" + bad, "SPOKEGW_OPERATOR=" + bad}, []string{"check"}, 1, []string{bad + ":1: invalid character", bad + ":3"}},
+		{[]string{"NODE_CONFIG=" + syntax}, []string{"check"}, 1, []string{syntax + ":3: invalid character '}'"}},
+		{[]string{"NODE_CONFIG=" + kind}, []string{"check"}, 1, []string{kind + ":4: settings.fleet_size: a whole number is expected, not \"many\"", kind + ":5: settings.classes[1].aim_ms: a number", kind + ":6: limits: an object"}},
+		{[]string{"NODE_CONFIG=" + value}, []string{"check"}, 1, []string{
+			value + ":1: settings.limits.send_cap: at least 1 is expected, not 0", value + ":2: settings.classes[0].effect: idempotency_key, non_idempotent, read_like is expected, not \"\"",
+			value + ":3: settings.classes[1].dedup_window_ms", value + ":4: limits.sockets: at least 32", value + ":5: seed"}},
+		{[]string{"NODE_CONFIG=" + bare}, []string{"check"}, 1, []string{bare + ": listen: an address", bare + ": discovery: the registry's"}},
 		{[]string{"NODE_CONFIG=" + config}, []string{"--operator", bad}, 1, []string{bad + ":3"}},
 	} {
 		cmd := exec.Command(os.Args[0], c.args...)
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -82,7 +82,7 @@
 	if s.Registry, err = lab.StartRegistry(Entries(s.Maps...), nil); err != nil {
 		return err
 	}
-	if s.config, err = sidecar.ParseConfig(s.platform(c)); err != nil {
+	if s.config, err = sidecar.ParseConfig("platform", s.platform(c)); err != nil {
 		return err
 	}
 	if c.HTTP3 {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"spokegw/internal/broker"
+	"spokegw/internal/fault"
 	"spokegw/internal/route"
 	"spokegw/internal/target"
 	"spokegw/policy"
@@ -141,7 +142,7 @@
 	return Parse(path, text)
 }
 
-// Parse reads a file's text. The error is of type Faults.
+// Parse reads a file's text. The error is of type fault.Faults.
 func Parse(name string, text []byte) (*File, error) {
 	r := &reader{file: name}
 	f := &File{reader: r}
@@ -173,7 +174,7 @@
 	if len(f.reader.faults) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(f.reader.faults, func(a, b Fault) int { return a.Line - b.Line })
+	slices.SortStableFunc(f.reader.faults, func(a, b fault.Fault) int { return a.Line - b.Line })
 	return f.reader.faults
 }
 
@@ -499,7 +500,7 @@
 }
 
 // Check checks the file against the platform's classes: their paths are their
-// names, and contracts may name them. The error is of type Faults.
+// names, and contracts may name them. The error is of type fault.Faults.
 func (f *File) Check(platform []string) error {
 	r := f.reader
 	theirs := func(path string) bool { // a class of the platform's, or within one
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"spokegw/internal/broker"
+	"spokegw/internal/fault"
 	"spokegw/policy"
 )
 
@@ -196,7 +197,7 @@
 func TestAllFaults(t *testing.T) {
 	text := strings.NewReplacer(`share = 0.27`, `share = 2`, `aim = "400ms"`, `aim = "soon"`, `rate = 5`, `rates = 5`).Replace(good)
 	_, err := Parse("f", []byte(text))
-	var faults Faults
+	var faults fault.Faults
 	if !errors.As(err, &faults) || len(faults) != 3 {
 		t.Fatalf("the faults are\n%v", err)
 	}
@@ -219,7 +220,7 @@
 		if err == nil {
 			err = file.Check([]string{"map-tile", "status-report"})
 		}
-		var faults Faults
+		var faults fault.Faults
 		if errors.As(err, &faults) {
 			for _, fault := range faults {
 				if fault.Text == "" || fault.File != "f" || fault.Line < 0 || fault.Line > strings.Count(text, "\n")+1 {
--- a/internal/operator/toml.go
+++ b/internal/operator/toml.go
@@ -11,59 +11,19 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
-)
-
-// Fault is one thing that is wrong with a file.
-type Fault struct {
-	File string
-	Line int    // from 1; 0: of the whole file
-	Key  string // such as team[2].share; "": of the whole file
-	Text string // what was found, and what was expected
-}
-
-func (f Fault) Error() string {
-	place := f.File
-	if f.Line > 0 {
-		place += fmt.Sprintf(":%d", f.Line)
-	}
-	if f.Key != "" {
-		place += ": " + f.Key
-	}
-	return place + ": " + f.Text
-}
-
-// Faults are all that is wrong with a file, by line.
-type Faults []Fault
 
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i := range f {
-		lines[i] = f[i].Error()
-	}
-	return strings.Join(lines, "\n")
-}
+	"spokegw/internal/fault"
+)
 
 // reader takes values from a file and collects what is wrong with them.
 type reader struct {
 	file   string
-	lines  map[string]int // of keys, such as team[2].share
-	faults Faults
+	lines  fault.Lines // of keys, such as team[2].share
+	faults fault.Faults
 }
 
 func (r *reader) fault(key, format string, args ...any) {
-	line := 0
-	for k := key; line == 0 && k != ""; k = parent(k) {
-		if line = r.lines[k]; line == 0 {
-			line = r.lines[k+"[0]"] // the first table of an array
-		}
-	}
-	r.faults = append(r.faults, Fault{r.file, line, key, fmt.Sprintf(format, args...)})
-}
-
-// parent is the key of the table that holds a key.
-func parent(key string) string {
-	i := strings.LastIndexAny(key, ".[")
-	return key[:max(i, 0)]
+	r.faults = append(r.faults, fault.Fault{File: r.file, Line: r.lines.Of(key), Key: key, Text: fmt.Sprintf(format, args...)})
 }
 
 // decode reads the text into tables and notes the line of each key.
@@ -75,7 +35,7 @@
 		if errors.As(err, &at) {
 			line, _ = at.Position()
 		}
-		r.faults = append(r.faults, Fault{r.file, line, "", strings.TrimPrefix(err.Error(), "toml: ") + "; TOML is expected"})
+		r.faults = append(r.faults, fault.Fault{File: r.file, Line: line, Text: strings.TrimPrefix(err.Error(), "toml: ") + "; TOML is expected"})
 		return nil
 	}
 	r.index(text)
@@ -84,7 +44,7 @@
 
 // index notes the lines of tables and keys. The text is known to be TOML.
 func (r *reader) index(text []byte) {
-	r.lines = map[string]int{}
+	r.lines = fault.Lines{}
 	counts := map[string]int{} // of arrays of tables
 	var p unstable.Parser
 	p.Reset(text)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -10,10 +10,13 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 
 	"spokegw/internal/budget"
 	"spokegw/internal/discovery"
+	"spokegw/internal/fault"
+	"spokegw/internal/jsonfile"
 	"spokegw/internal/operator"
 	"spokegw/internal/wire"
 	"spokegw/policy"
@@ -50,9 +53,9 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := ParseConfig(text)
+	c, err := ParseConfig(path, text)
 	if err != nil {
-		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+		return Config{}, err
 	}
 	for name, field := range map[string]*string{"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen} {
 		if v := getenv(name); v != "" {
@@ -62,11 +65,15 @@
 	if c.Discovery == "" {
 		c.Discovery = getenv("NODE_DISCOVERY")
 	}
-	switch {
-	case c.Listen == "":
-		return Config{}, errors.New("neither NODE_LISTEN nor the configuration tells where to listen")
-	case c.Discovery == "":
-		return Config{}, errors.New("neither NODE_DISCOVERY nor the configuration tells where discovery is")
+	var missing fault.Faults
+	if c.Listen == "" {
+		missing = append(missing, fault.Fault{File: path, Key: "listen", Text: "an address to listen at is expected here or in NODE_LISTEN"})
+	}
+	if c.Discovery == "" {
+		missing = append(missing, fault.Fault{File: path, Key: "discovery", Text: "the registry's address is expected here or in NODE_DISCOVERY"})
+	}
+	if len(missing) > 0 {
+		return Config{}, missing
 	}
 	return c, nil
 }
@@ -121,34 +128,81 @@
 // sockets is a part of the descriptors.
 func (l Limits) sockets(part float64) int64 { return int64(part * float64(l.Sockets)) }
 
-// atLine adds the line to an error of JSON in a part of text.
-func atLine(text []byte, part int, err error) error {
-	offset := 0
-	if e := (*json.SyntaxError)(nil); errors.As(err, &e) {
-		offset = int(e.Offset)
-	} else if e := (*json.UnmarshalTypeError)(nil); errors.As(err, &e) {
-		offset = int(e.Offset)
+// contents is what a configuration is decoded into.
+type contents struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// shape is contents to the last value, to look for faults.
+type shape struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    Limits `json:"limits"`
+	Known     struct {
+		Version int64             `json:"version"`
+		Full    bool              `json:"full"`
+		Servers []discovery.Entry `json:"servers"`
+	} `json:"known"`
+	Settings wire.Shape `json:"settings"`
+}
+
+var defaultLimits = Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+
+// ParseConfig reads the text of a configuration. The error tells everything
+// that is wrong with it; name is the file's, for that.
+func ParseConfig(name string, text []byte) (Config, error) {
+	c, err := parseConfig(text)
+	if err == nil {
+		return c, nil
 	}
-	if offset == 0 {
-		return err
+	if faults := configFaults(name, text); len(faults) > 0 {
+		return c, faults
 	}
-	return fmt.Errorf("line %d: %w", 1+bytes.Count(text[:min(part+offset, len(text))], []byte("\n")), err)
+	return c, fmt.Errorf("%s: %w", name, err)
+}
+
+// configFaults are the faults of a configuration, by line.
+func configFaults(name string, text []byte) fault.Faults {
+	f := jsonfile.Read(name, text)
+	f.Check(shape{})
+	s := shape{Limits: defaultLimits}
+	if len(f.Faults) == 0 && json.Unmarshal(text, &s) == nil {
+		s.check(f)
+	}
+	slices.SortStableFunc(f.Faults, func(a, b fault.Fault) int { return a.Line - b.Line })
+	return f.Faults
 }
 
-// ParseConfig reads the text of a configuration.
-func ParseConfig(text []byte) (Config, error) {
-	var raw struct {
-		Name      string          `json:"name"`
-		Listen    string          `json:"listen"`
-		Discovery string          `json:"discovery"`
-		Seed      string          `json:"seed"`
-		Limits    Limits          `json:"limits"`
-		Known     json.RawMessage `json:"known"`
-		Settings  json.RawMessage `json:"settings"`
-	}
-	raw.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+// check notes the values that can't be worked with.
+func (s *shape) check(f *jsonfile.File) {
+	if f.Has("settings") {
+		s.Settings.Check(f, "settings")
+	} else {
+		f.Fault("settings", "it is missing, an object is expected")
+	}
+	if _, err := parseSeed(s.Seed); err != nil {
+		f.Fault("seed", "up to 16 hexadecimal digits are expected, not %.60q", s.Seed)
+	}
+	if s.Limits.Sockets < minSockets {
+		f.Fault("limits.sockets", "at least %d is expected, not %d", minSockets, s.Limits.Sockets)
+	}
+	if s.Limits.MemoryMB < minMemoryMB {
+		f.Fault("limits.memory_mb", "at least %d is expected, not %d", minMemoryMB, s.Limits.MemoryMB)
+	}
+}
+
+func parseConfig(text []byte) (Config, error) {
+	raw := contents{Limits: defaultLimits}
 	if err := json.Unmarshal(text, &raw); err != nil {
-		return Config{}, atLine(text, 0, err)
+		return Config{}, err
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits}
 	var err error
@@ -156,7 +210,7 @@
 		return c, errors.New("settings are missing")
 	}
 	if c.Settings, err = wire.DecodeSettings(raw.Settings); err != nil {
-		return c, atLine(text, bytes.Index(text, raw.Settings), err)
+		return c, err
 	}
 	if _, err := policy.New(c.Settings.Policy, 0); err != nil {
 		return c, err
@@ -166,11 +220,8 @@
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
-	c.Seed = rand.Uint64()
-	if raw.Seed != "" {
-		if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
-			return c, fmt.Errorf("seed: %w", err)
-		}
+	if c.Seed, err = parseSeed(raw.Seed); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
 	}
 	if c.Limits.Sockets < minSockets || c.Limits.MemoryMB < minMemoryMB {
 		return c, fmt.Errorf("limits: %d sockets and %d MB are too few: at least %d and %d are needed",
@@ -178,3 +229,11 @@
 	}
 	return c, nil
 }
+
+// parseSeed reads a seed; where there is none it draws one.
+func parseSeed(text string) (uint64, error) {
+	if text == "" {
+		return rand.Uint64(), nil
+	}
+	return strconv.ParseUint(text, 16, 64)
+}
--- /dev/null
+++ b/internal/sidecar/config_test.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"spokegw/internal/fault"
+)
+
+// Whatever a configuration holds, it is taken or refused with a place and a
+// reason for each fault, and never ends in a panic.
+func FuzzConfig(f *testing.F) {
+	const good = `{"listen":"127.0.0.1:0","limits":{"cores":1,"memory_mb":64,"sockets":64},"known":{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1"}]},"settings":{"fleet_size":1,"limits":{"send_cap":3},"classes":[{"name":"tile","effect":"read_like","aim_ms":100}]}}`
+	f.Add(good)
+	for _, change := range [][2]string{
+		{`"sockets":64`, `"sockets":[]`}, {`"send_cap":3`, `"send_cap":3.5`}, {`"id":"a"`, `"id":7`}, {`[{"id"`, `{"0":{"id"`},
+		{`"read_like"`, `null`}, {`}}`, ``}, {`{"name"`, `[{"name"`}, {`"aim_ms":100`, `"aim_ms":1e999`}, {`"version":1`, `"version":"1"`},
+		{`"fleet_size":1`, `"fleet_size":99999999999999999999`}, {`"classes":[`, `"classes":[[],`}, {`"listen"`, `"LISTEN":3,"listen"`}, {`"listen"`, `"listen":3,"listen"`},
+		{good, ``}, {good, `[]`}, {good, `null`}, {good, good + `{}`}, {good, strings.Repeat("[", 10000)},
+	} {
+		f.Add(strings.Replace(good, change[0], change[1], 1))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := ParseConfig("file", []byte(text))
+		var faults fault.Faults
+		switch {
+		case err == nil:
+		case !errors.As(err, &faults):
+			t.Errorf("no fault was found, but %v", err)
+		default:
+			for _, f := range faults {
+				if f.File == "" || f.Text == "" || f.Line == 0 && f.Key == "" {
+					t.Errorf("%+v tells no place or no reason", f)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/faults.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"spokegw/internal/jsonfile"
+)
+
+// Shape is what the settings object is decoded into.
+type Shape struct{ options }
+
+// UnmarshalJSON decodes the settings object.
+func (s *Shape) UnmarshalJSON(text []byte) error { return json.Unmarshal(text, &s.options) }
+
+// Check notes in the file what the module refuses of the settings, which are
+// at key. The module itself tells the first of it, without a place.
+func (s *Shape) Check(f *jsonfile.File, key string) {
+	if len(s.Classes) == 0 {
+		f.Fault(key+".classes", "at least one class is expected")
+	}
+	for i := range s.Classes {
+		s.checkClass(f, fmt.Sprintf("%s.classes[%d]", key, i), i)
+	}
+	if s.FleetSize < 1 {
+		f.Fault(key+".fleet_size", "at least 1 is expected, not %d", s.FleetSize)
+	}
+	if s.Limits.SendCap < 1 {
+		f.Fault(key+".limits.send_cap", "at least 1 is expected, not %d", s.Limits.SendCap)
+	}
+	if c := s.Rules.StartCapacity; c < 0 || c > 1 {
+		f.Fault(key+".rules.start_capacity", "a number from 0 to 1 is expected, not %v", c)
+	}
+}
+
+func (s *Shape) checkClass(f *jsonfile.File, key string, i int) {
+	c := s.Classes[i]
+	checkOneOf(f, key+".effect", effects, c.Effect)
+	checkOneOf(f, key+".key_scope", scopes, c.Scope)
+	for _, span := range []struct {
+		name string
+		ms   float64
+	}{{"aim_ms", c.Aim}, {"hard_limit_ms", c.Limit}, {"dedup_window_ms", c.Window}} {
+		if span.ms < 0 {
+			f.Fault(key+"."+span.name, "a time in milliseconds is expected, not %v", span.ms)
+		}
+	}
+}
+
+func checkOneOf[T any](f *jsonfile.File, key string, table map[string]T, name string) {
+	if _, ok := table[name]; ok {
+		return
+	}
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(table)), func(n string) bool { return n == "" })
+	f.Fault(key, "%s is expected, not %.60q", strings.Join(names, ", "), name)
+}
