broker: show shares under random asking, and memory over 200 reloads

A team with few dear requests asking at random was said to be up to 5.5 points off its share; the test had it ask evenly.

--- a/internal/broker/sim_test.go
+++ b/internal/broker/sim_test.go
@@ -209,16 +209,24 @@
 // worst is the largest distance, over any 2 s within the span, of the team's
 // part of the work done from what it is owed.
 func (s *simulation) worst(t *team, owed float64, from, to time.Duration) (worst float64) {
+	for _, off := range s.offs(t, owed, from, to) {
+		if math.Abs(off) > math.Abs(worst) {
+			worst = off
+		}
+	}
+	return worst
+}
+
+// offs are the distances that worst is the largest of, one for each 2 s.
+func (s *simulation) offs(t *team, owed float64, from, to time.Duration) (offs []float64) {
 	for at := from; at+2*time.Second <= to; at += slotTime {
 		sum := 0.0
 		for _, other := range s.teams {
 			sum += other.between(at, at+2*time.Second).work
 		}
-		if off := t.between(at, at+2*time.Second).work/sum - owed; math.Abs(off) > math.Abs(worst) {
-			worst = off
-		}
+		offs = append(offs, t.between(at, at+2*time.Second).work/sum-owed)
 	}
-	return worst
+	return offs
 }
 
 func steady(rate float64) func(time.Duration) float64 {
@@ -284,6 +292,44 @@
 	})
 }
 
+// As TestSurgeOfAll, but the team with few dear requests asks at random too. 3
+// points of 2 s are six of its requests, and nothing is held: what it did not
+// ask for in a gap is not there to be made good in the next 2 s. So some spans
+// are further off, on either side, and the mean is right. Less room for it would
+// let out less after a gap, and take from the mean and from teams within their
+// share, which docs/design/broker.md has the figures of.
+func TestSurgeOfAllAtRandom(t *testing.T) {
+	var spans, beyond int
+	var worst, mean float64
+	const courses = 20
+	for seed := uint64(1); seed <= courses; seed++ {
+		a := &team{name: "a", rate: steady(20 * 0.6 * 1.5 / 0.030), work: 0.030}
+		b := &team{name: "b", rate: steady(20 * 0.27 * 1.5 / 0.200), work: 0.200}
+		c := &team{name: "c", rate: steady(20 * 0.13 * 1.5 / 0.005), work: 0.005}
+		s := newSimulation(t, seed, threeTeams(), 20, a, b, c)
+		s.run(20 * time.Second)
+		for i, owed := range []float64{0.6, 0.27, 0.13} {
+			for _, off := range s.offs(s.teams[i], owed, 2*time.Second, 20*time.Second) {
+				spans++
+				worst = math.Max(worst, math.Abs(off))
+				if math.Abs(off) > 0.03 {
+					beyond++
+				}
+			}
+		}
+		all := 0.0
+		for _, team := range s.teams {
+			all += team.between(2*time.Second, 20*time.Second).work
+		}
+		mean += b.between(2*time.Second, 20*time.Second).work / all / courses
+	}
+	part := float64(beyond) / float64(spans)
+	t.Logf("%.4f of %d spans are more than 0.03 off, the worst %.3f; the team with dear requests has %.4f", part, spans, worst, mean)
+	if part > 0.01 || worst > 0.06 || math.Abs(mean-0.27) > 0.005 {
+		t.Errorf("%.4f of the spans are more than 0.03 off, the worst %.3f; the team with dear requests has %.4f of 0.27", part, worst, mean)
+	}
+}
+
 // A team at 300% of what it is owed, with others within theirs, who keep their
 // times; the burst begins in the middle.
 func TestTeamWithinBudget(t *testing.T) {
--- a/internal/sidecar/contracts_test.go
+++ b/internal/sidecar/contracts_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -478,3 +480,55 @@
 		t.Fatal("the open request has no answer")
 	}
 }
+
+// 200 reloads that put up and take down services, teams and paths leave nothing
+// behind: what is in memory after them is what was there before, to less than a
+// KiB for each.
+func TestReloadsDoNotGrow(t *testing.T) {
+	e := endpoint(t, lab.EndpointConfig{Workers: 8, Body: 20})
+	s := start(t, scene.Config{Operator: maps})
+	reload := func(times int) {
+		for i := range times {
+			text := maps
+			for n := range 20 {
+				text += contract(fmt.Sprintf("team-%d-%d", i, n), 0.01, "service = 'maps'")
+			}
+			if i%2 == 1 {
+				text += strings.Replace(weather("/forecast", e), "'weather'", fmt.Sprintf("'weather-%d'", i), 1)
+			}
+			if err := s.Reload(text); err != nil {
+				t.Fatal(err)
+			}
+			if a := ask(t, s, tile(fmt.Sprintf("team-%d-0", i))); a.status != 200 {
+				t.Fatalf("reload %d: the team is answered %d", i, a.status)
+			}
+		}
+	}
+	reload(60)
+	before := heapAtRest()
+	reload(200)
+	if n := s.Sidecar.Retired(); n > 0 {
+		t.Errorf("%d services that have gone are still there", n)
+	}
+	after := heapAtRest()
+	t.Logf("%d bytes before, %d after", before, after)
+	if grown := int64(after) - int64(before); grown > 200<<10 {
+		t.Errorf("200 reloads have left %d bytes", grown)
+	}
+}
+
+// heapAtRest is what the heap holds once collecting it finds nothing more.
+func heapAtRest() uint64 {
+	var m runtime.MemStats
+	least := uint64(math.MaxUint64)
+	for same := 0; same < 5; {
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		if m.HeapAlloc < least {
+			least, same = m.HeapAlloc, 0
+		} else {
+			same++
+		}
+	}
+	return least
+}
