quiclb: connection IDs that name the instance, as QUIC-LB foresees

A balancer before many instances has to find the one that has a connection, also after its client has moved. This pure package makes and reads such IDs, in plain or encrypted (one pass of AES or four).

--- /dev/null
+++ b/internal/quiclb/quiclb.go
@@ -0,0 +1,170 @@
+// Package quiclb makes QUIC connection IDs that a load balancer can route by,
+// as draft-ietf-quic-load-balancers foresees: each holds the ID of the server
+// that made it, in plain or encrypted under a key that balancer and servers
+// share. So a connection that moves to another address still reaches the
+// instance that has it. The package is pure: nonces come in.
+package quiclb
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"errors"
+	"fmt"
+)
+
+const (
+	// MaxConfig is the highest config rotation codepoint; 0b111 marks a
+	// connection ID that can't be routed (section 3.1 of the draft).
+	MaxConfig = 6
+	// The draft's bounds (sections 3 and 5.2): an ID fits QUIC version 1.
+	minNonce, maxNonce = 4, 18
+	maxServer          = 15
+	maxBoth            = 19
+	// KeyLen is the length of a key in bytes.
+	KeyLen = 16
+)
+
+// Config is what balancer and servers agree on.
+type Config struct {
+	Config   byte   // rotation codepoint, 0 to MaxConfig
+	Server   []byte // this server's ID, 1 to 15 bytes
+	NonceLen int    // 4 to 18 bytes, at most 19 with the server's ID
+	Key      []byte // of KeyLen bytes; nil: server ID and nonce are in plain
+}
+
+// Encoder makes connection IDs of one server. Its methods may be called by
+// several goroutines.
+type Encoder struct {
+	config Config
+	block  cipher.Block // nil: in plain
+}
+
+// New makes an encoder. The error names what is out of the draft's bounds.
+func New(c Config) (*Encoder, error) {
+	switch {
+	case c.Config > MaxConfig:
+		return nil, fmt.Errorf("config %d: 0 to %d is expected", c.Config, MaxConfig)
+	case len(c.Server) < 1 || len(c.Server) > maxServer:
+		return nil, fmt.Errorf("server ID of %d bytes: 1 to %d are expected", len(c.Server), maxServer)
+	case c.NonceLen < minNonce || c.NonceLen > maxNonce:
+		return nil, fmt.Errorf("nonce of %d bytes: %d to %d are expected", c.NonceLen, minNonce, maxNonce)
+	case len(c.Server)+c.NonceLen > maxBoth:
+		return nil, fmt.Errorf("server ID and nonce of %d bytes: %d at most are expected", len(c.Server)+c.NonceLen, maxBoth)
+	}
+	e := &Encoder{config: c}
+	if c.Key != nil {
+		if len(c.Key) != KeyLen {
+			return nil, fmt.Errorf("key of %d bytes: %d are expected", len(c.Key), KeyLen)
+		}
+		e.block, _ = aes.NewCipher(c.Key) // of a length that it takes
+	}
+	return e, nil
+}
+
+// Len is the length of a connection ID in bytes.
+func (e *Encoder) Len() int { return 1 + len(e.config.Server) + e.config.NonceLen }
+
+// NonceLen is the length of a nonce in bytes.
+func (e *Encoder) NonceLen() int { return e.config.NonceLen }
+
+// Encode makes the connection ID of a nonce, which must not be used twice under
+// one key. Its first byte holds the config and the length of the rest (section
+// 3.3), so that devices which know no config can tell where the ID ends.
+func (e *Encoder) Encode(nonce []byte) ([]byte, error) {
+	if len(nonce) != e.config.NonceLen {
+		return nil, fmt.Errorf("nonce of %d bytes: %d are expected", len(nonce), e.config.NonceLen)
+	}
+	id := make([]byte, 1, e.Len())
+	id[0] = e.config.Config<<5 | byte(e.Len()-1)
+	id = append(append(id, e.config.Server...), nonce...)
+	if e.block != nil {
+		e.encrypt(id[1:])
+	}
+	return id, nil
+}
+
+// errNotOurs tells that a connection ID was not made under the config.
+var errNotOurs = errors.New("the connection ID is of another config or length")
+
+// Decode reads a connection ID as a balancer does: the server's ID, and the
+// nonce, of which a balancer has no use.
+func (e *Encoder) Decode(id []byte) (server, nonce []byte, err error) {
+	if len(id) != e.Len() || id[0]>>5 != e.config.Config {
+		return nil, nil, errNotOurs
+	}
+	text := append([]byte(nil), id[1:]...)
+	if e.block != nil {
+		e.decrypt(text)
+	}
+	n := len(e.config.Server)
+	return text[:n], text[n:], nil
+}
+
+// encrypt encrypts server ID and nonce in place: in one pass where they fill a
+// block (section 5.4.1), else in the four of a Feistel network (section 5.4.2).
+func (e *Encoder) encrypt(text []byte) {
+	if len(text) == aes.BlockSize {
+		e.block.Encrypt(text, text)
+		return
+	}
+	left, right := split(text)
+	e.pass(1, len(text), left, right)
+	e.pass(2, len(text), right, left)
+	e.pass(3, len(text), left, right)
+	e.pass(4, len(text), right, left)
+	join(text, left, right)
+}
+
+func (e *Encoder) decrypt(text []byte) {
+	if len(text) == aes.BlockSize {
+		e.block.Decrypt(text, text)
+		return
+	}
+	left, right := split(text)
+	e.pass(4, len(text), right, left)
+	e.pass(3, len(text), left, right)
+	e.pass(2, len(text), right, left)
+	e.pass(1, len(text), left, right)
+	join(text, left, right)
+}
+
+// pass mixes the one half into the other. Of a text of odd length the halves
+// share the byte in the middle: the left one has its high four bits, the right
+// one its low four, and the others stay 0.
+func (e *Encoder) pass(n, length int, from, into []byte) {
+	var b [aes.BlockSize]byte
+	copy(b[:], from)
+	b[14], b[15] = byte(length), byte(n)
+	e.block.Encrypt(b[:], b[:])
+	for i := range into {
+		into[i] ^= b[i]
+	}
+	if length%2 == 0 {
+		return
+	}
+	if n%2 == 1 { // into the right half
+		into[0] &= 0x0f
+	} else {
+		into[len(into)-1] &= 0xf0
+	}
+}
+
+func split(text []byte) (left, right []byte) {
+	half := (len(text) + 1) / 2
+	left = append(left, text[:half]...)
+	right = append(right, text[len(text)-half:]...)
+	if len(text)%2 == 1 {
+		left[half-1] &= 0xf0
+		right[0] &= 0x0f
+	}
+	return left, right
+}
+
+func join(text, left, right []byte) {
+	copy(text, left)
+	at := len(text) - len(right)
+	if len(text)%2 == 1 {
+		right[0] |= left[len(left)-1]
+	}
+	copy(text[at:], right)
+}
