http3: keep connections whose clients may wait; route by connection IDs

Connections were lost now and then after moves on a path that loses 5%. A log of every datagram gives two causes. A client that is moved without knowing, with its request acknowledged, has nothing to send, and the answer goes to the old address until it speaks: the bench's clients did not ping, and do now. And the front closed such a connection after 10 s as one held open for nothing: now only once no client can be waiting (the longest deadline and 2.5 s where that is more). TestMovedWhileWaiting fails without it.

[http3.routing] has connection IDs name the instance (internal/quiclb), off without it. TestRouting reads them at the relay, in plain and encrypted.

--- a/bench/http3/main.go
+++ b/bench/http3/main.go
@@ -4,7 +4,7 @@
 // and the processor's. The clients run in the same process, so that the latter
 // is of both sides; what is to be compared are the two protocols.
 //
-//	go run ./bench/http3 [-requests 100000] [-loss 0.05] [-move 1s] [-skip-path]
+//	go run ./bench/http3 [-requests 100000] [-loss 0.05] [-move 1s] [-ping 2s] [-skip-path]
 package main
 
 import (
@@ -33,10 +33,13 @@
 
 const file = "[[service]]\nname = 'maps'\n[[team]]\nname = 'patrols'\nshare = 1\n[[team.allow]]\nservice = 'maps'\n"
 
+var ping *time.Duration
+
 func main() {
 	requests := flag.Int("requests", 100000, "through the path")
 	loss := flag.Float64("loss", 0.05, "part of the datagrams that the path loses, each way")
 	move := flag.Duration("move", time.Second, "between moves of all clients to other addresses")
+	ping = flag.Duration("ping", 2*time.Second, "between the pings of a client that waits; 0: none")
 	skip := flag.Bool("skip-path", false, "compare the protocols only")
 	flag.Parse()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
@@ -59,12 +62,14 @@
 		Maps: []lab.EndpointConfig{e, e, e}, Sockets: 2048, Aim: 15 * time.Second, Deadline: 20 * time.Second})
 }
 
-// client is one HTTP/3 client, with a connection of its own.
+// client is one HTTP/3 client, with a connection of its own. It pings while it
+// waits: a client that was given another address without knowing, and has
+// nothing to send, can't be reached by anyone (RFC 9000 section 10.1.2).
 func client(s *scene.Scene) *http3.Transport {
 	roots := x509.NewCertPool()
 	roots.AppendCertsFromPEM(s.Certificate)
 	return &http3.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, DisableCompression: true,
-		QUICConfig: &quic.Config{MaxIdleTimeout: 25 * time.Second, HandshakeIdleTimeout: 10 * time.Second}}
+		QUICConfig: &quic.Config{MaxIdleTimeout: 25 * time.Second, HandshakeIdleTimeout: 10 * time.Second, KeepAlivePeriod: *ping}}
 }
 
 func report(ctx context.Context, url, id string) *http.Request {
--- a/internal/front/http3/http3_test.go
+++ b/internal/front/http3/http3_test.go
@@ -1,13 +1,17 @@
 package http3_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -17,8 +21,10 @@
 	"github.com/quic-go/quic-go/http3"
 	"go.uber.org/goleak"
 
+	http3front "spokegw/internal/front/http3"
 	"spokegw/internal/lab"
 	"spokegw/internal/lab/scene"
+	"spokegw/internal/quiclb"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -212,6 +218,135 @@
 	}
 }
 
+// A client is moved without knowing while it waits, its request acknowledged and
+// nothing to send. What the server sends goes nowhere until the client pings,
+// which may be long after the answer was made; the connection is there for it.
+func TestMovedWhileWaiting(t *testing.T) {
+	defer func(patience, period time.Duration) {
+		*http3front.ConnPatience, *http3front.SweepPeriod = patience, period
+	}(*http3front.ConnPatience, *http3front.SweepPeriod)
+	*http3front.ConnPatience, *http3front.SweepPeriod = 200*time.Millisecond, 20*time.Millisecond
+	t.Run("", func(t *testing.T) { // ends, with its scene, before they are put back
+		s, n := start(t, scene.Config{Maps: []lab.EndpointConfig{{Workers: 8, Body: 300}}})
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		r, c := relay(t, s, lab.Plan{}), client(t, s)
+		c.QUICConfig.KeepAlivePeriod, c.QUICConfig.DisablePathMTUDiscovery = 1500*time.Millisecond, true // nothing else is sent
+		if status, _, err := ask(c, report(ctx, r.Addr(), "settle", nil)); status != 200 {
+			t.Fatal(status, err)
+		}
+		<-n.arrived
+		s.Maps[0].Silence()
+		answered := make(chan error, 1)
+		go func() {
+			status, _, err := ask(c, report(ctx, r.Addr(), "waits", nil))
+			if err == nil && status != 200 {
+				err = fmt.Errorf("status %d", status)
+			}
+			answered <- err
+		}()
+		<-n.arrived
+		if err := r.AwaitQuiet(ctx, 150*time.Millisecond); err != nil { // all is acknowledged
+			t.Fatal(err)
+		}
+		if err := r.Move(); err != nil {
+			t.Fatal(err)
+		}
+		s.Maps[0].Speak()
+		if err := <-answered; err != nil {
+			t.Error("moved while it waited, the client has no answer:", err)
+		}
+		if e := n.of("waits"); e != 1 {
+			t.Errorf("%d effects", e)
+		}
+	})
+}
+
+// With routing every connection ID that a client is given, from the first to
+// those for other paths, tells a balancer the instance; connections work as
+// without.
+func TestRouting(t *testing.T) {
+	key := filepath.Join(t.TempDir(), "routing.key")
+	const digits = "8f95f09245765f80256934e50c66207f"
+	if err := os.WriteFile(key, []byte(digits+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, more := range map[string]string{"in plain": "", "encrypted": fmt.Sprintf("key = %q\n", key)} {
+		t.Run(name, func(t *testing.T) {
+			config := quiclb.Config{Config: 2, Server: []byte{0xab, 0x01}, NonceLen: 6}
+			if more != "" {
+				config.Key, _ = hex.DecodeString(digits)
+			}
+			ids, err := quiclb.New(config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, _ := start(t, scene.Config{HTTP3More: "[http3.routing]\nconfig = 2\nserver = 'ab01'\nnonce = 6\n" + more})
+			var mu sync.Mutex
+			seen := map[string]bool{}
+			r := relay(t, s, lab.Plan{Tap: func(d lab.Direction, text []byte) {
+				if d != lab.ToServer || len(text) <= ids.Len() || text[0]&0x80 != 0 { // a long header
+					return
+				}
+				id := text[1 : 1+ids.Len()]
+				if server, _, err := ids.Decode(id); err != nil || !bytes.Equal(server, config.Server) {
+					t.Errorf("connection ID %x is of server %x (%v)", id, server, err)
+				}
+				mu.Lock()
+				seen[string(id)] = true
+				mu.Unlock()
+			}})
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			for i := range 2 {
+				c := client(t, s)
+				for j := range 3 {
+					if status, _, err := ask(c, report(ctx, r.Addr(), fmt.Sprint(name, i, j), nil)); status != 200 {
+						t.Fatal(status, err)
+					}
+					if err := r.Move(); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if len(seen) < 2 {
+				t.Errorf("%d connection IDs were used by two connections", len(seen))
+			}
+		})
+	}
+}
+
+// Nonces don't come twice under a key, and in plain are not counted, so that
+// nobody can tell the IDs of one connection.
+func TestRoutedIDs(t *testing.T) {
+	key := filepath.Join(t.TempDir(), "routing.key")
+	if err := os.WriteFile(key, []byte("00112233445566778899aabbccddeeff"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range []string{"", key} {
+		ids, err := http3front.NewRoutedIDs(&http3front.Routing{Server: "01", Nonce: 4, Key: file})
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := map[quic.ConnectionID]bool{}
+		for range 2000 {
+			id, err := ids.GenerateConnectionID()
+			if err != nil || id.Len() != ids.ConnectionIDLen() || seen[id] {
+				t.Fatalf("%v after %d others (%v)", id, len(seen), err)
+			}
+			seen[id] = true
+		}
+	}
+	os.WriteFile(key, []byte("0011"), 0o600)
+	for file, want := range map[string]string{key: "32 hexadecimal digits are expected", key + ".none": "no such file"} {
+		if _, err := http3front.NewRoutedIDs(&http3front.Routing{Server: "01", Nonce: 4, Key: file}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
+
 // A client that opens requests and cancels them has its connection closed before
 // long, whatever the limit on open ones; others are served.
 func TestCancelledInSeries(t *testing.T) {
--- a/internal/front/http3/server.go
+++ b/internal/front/http3/server.go
@@ -36,10 +36,11 @@
 	MaxHead          int    // bytes of a request's fields, with 32 more for each (RFC 9114 section 4.2.2)
 	Handshake        time.Duration
 	Idle             time.Duration
-	Resets           float64 // requests a second that a client may cancel on a connection, sustained
-	Unvalidated      int     // handshakes under way from which on addresses are validated first
-	Front            int     // its number at the core
-	Secret           string  // with that of Key, what the keys of stateless resets and address tokens are derived from
+	Resets           float64  // requests a second that a client may cancel on a connection, sustained
+	Unvalidated      int      // handshakes under way from which on addresses are validated first
+	Front            int      // its number at the core
+	Routing          *Routing // nil: connection IDs are random
+	Secret           string   // with that of Key, what the keys of stateless resets and address tokens are derived from
 }
 
 // Server takes requests by HTTP/3.
@@ -52,6 +53,8 @@
 	server    *http3.Server
 	cert      atomic.Pointer[tls.Certificate]
 
+	patience, period time.Duration // of sweep
+
 	accepting     chan error   // takes the end of accepting
 	open, shaking atomic.Int64 // connections, and those of them in the handshake
 	connections   sync.WaitGroup
@@ -63,11 +66,6 @@
 const (
 	// requestPatience is for a request to come whole, from its fields on.
 	requestPatience = 2500 * time.Millisecond
-	// connPatience is how long a connection may be held open with no request
-	// served on it since the last one, or since it was made, while it is not
-	// silent: a client that trickles fields keeps a connection from idling.
-	connPatience = 10 * time.Second
-	sweepPeriod  = time.Second
 	// drainGrace is how long a stopping server waits for clients that have been
 	// told to leave to do so, once all they asked has been answered.
 	drainGrace = 500 * time.Millisecond
@@ -75,9 +73,18 @@
 	udpBuffer  = 1 << 20 // bytes, asked of the system for datagrams that wait
 )
 
+// Variables for the tests; Listen takes them over.
+var (
+	// connPatience is how long a connection may be held open at least with no
+	// request served on it since the last one, or since it was made, while it is
+	// not silent: a client that trickles fields keeps a connection from idling.
+	connPatience = 10 * time.Second
+	sweepPeriod  = time.Second
+)
+
 // Listen opens the server's address.
 func Listen(c Config, requests *core.Core) (*Server, error) {
-	s := &Server{config: c, core: requests, conns: map[*quic.Conn]*conn{}, accepting: make(chan error, 1)}
+	s := &Server{config: c, core: requests, conns: map[*quic.Conn]*conn{}, accepting: make(chan error, 1), patience: connPatience, period: sweepPeriod}
 	if err := s.ReloadCertificate(); err != nil {
 		return nil, err
 	}
@@ -94,7 +101,10 @@
 		return nil, fmt.Errorf("http3: %w", err)
 	}
 	s.udp.SetReadBuffer(udpBuffer) // as much of it as the system gives
-	s.transport = s.newTransport()
+	if s.transport, err = s.newTransport(); err != nil {
+		s.udp.Close()
+		return nil, err
+	}
 	if s.listener, err = s.transport.Listen(s.tls(), s.quic()); err != nil {
 		s.udp.Close()
 		return nil, fmt.Errorf("http3: %w", err)
@@ -103,14 +113,22 @@
 	return s, nil
 }
 
-func (s *Server) newTransport() *quic.Transport {
+func (s *Server) newTransport() (*quic.Transport, error) {
 	reset := quic.StatelessResetKey(sha256.Sum256([]byte("spokegw stateless reset\x00" + s.config.Secret)))
 	token := quic.TokenGeneratorKey(sha256.Sum256([]byte("spokegw address token\x00" + s.config.Secret)))
-	return &quic.Transport{
+	t := &quic.Transport{
 		Conn: s.udp, ConnectionIDLength: 8, StatelessResetKey: &reset, TokenGeneratorKey: &token, MaxTokenAge: time.Hour,
 		VerifySourceAddress: func(net.Addr) bool { return s.shaking.Load() >= int64(s.config.Unvalidated) },
 		ConnContext:         s.admit,
 	}
+	if s.config.Routing != nil {
+		ids, err := newRoutedIDs(s.config.Routing)
+		if err != nil {
+			return nil, fmt.Errorf("http3: routing: %w", err)
+		}
+		t.ConnectionIDGenerator = ids
+	}
+	return t, nil
 }
 
 func (s *Server) tls() *tls.Config {
@@ -216,17 +234,21 @@
 	delete(s.conns, qc)
 }
 
-// sweep closes connections that are held open for nothing.
+// sweep closes connections that are held open for nothing. Whether an answer
+// has arrived is not known here: it may be on its way still, over a path that
+// loses much or to a client that has moved and whose new path is not validated.
+// So none is closed while a client may wait for one.
 func (s *Server) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepPeriod)
+	tick := time.NewTicker(s.period)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			patience := max(s.patience, s.core.Deadline()+requestPatience)
 			for _, c := range s.each() {
-				if c.heldFor(now) > connPatience {
+				if c.heldFor(now) > patience {
 					c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeExcessiveLoad), "no request has come whole")
 				}
 			}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -22,6 +23,7 @@
 	clients map[string]*leg // at most maxLegs
 	n       map[Direction]int
 	bytes   map[Direction]int
+	passed  chan struct{} // told of datagrams
 	closed  bool
 	ended   sync.WaitGroup
 }
@@ -44,6 +46,8 @@
 	Spoil     float64 // one byte is changed
 	Delay     time.Duration
 	Jitter    time.Duration // of the delay: datagrams overtake one another
+
+	Tap func(Direction, []byte) // sees each datagram that comes
 }
 
 // leg is a client's path.
@@ -69,7 +73,7 @@
 	}
 	r := &Relay{
 		listener: l, server: to, plan: plan, rng: rand.New(rand.NewPCG(plan.Seed, 7)),
-		clients: map[string]*leg{}, n: map[Direction]int{}, bytes: map[Direction]int{},
+		clients: map[string]*leg{}, passed: make(chan struct{}, 1), n: map[Direction]int{}, bytes: map[Direction]int{},
 	}
 	r.ended.Go(r.fromClients)
 	return r, nil
@@ -115,6 +119,19 @@
 	return r.bytes[d]
 }
 
+// AwaitQuiet waits until nothing has come in any direction for a time.
+func (r *Relay) AwaitQuiet(ctx context.Context, span time.Duration) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.passed:
+		case <-time.After(span):
+			return nil
+		}
+	}
+}
+
 func (r *Relay) fromClients() {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -166,9 +183,16 @@
 
 // pass does with a datagram as planned.
 func (r *Relay) pass(d Direction, text []byte, send func([]byte)) {
+	if r.plan.Tap != nil {
+		r.plan.Tap(d, text)
+	}
 	r.mu.Lock()
 	r.n[d]++
 	r.bytes[d] += len(text)
+	select {
+	case r.passed <- struct{}{}:
+	default:
+	}
 	p := &r.plan
 	lost := r.rng.Float64() < p.Drop || d == ToClient && p.Deaf || p.DropEvery > 0 && r.n[d]%p.DropEvery == 0
 	copies := 1
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,7 @@
 package operator
 
 import (
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math"
@@ -17,6 +18,7 @@
 
 	"spokegw/internal/broker"
 	"spokegw/internal/fault"
+	"spokegw/internal/quiclb"
 	"spokegw/internal/route"
 	"spokegw/internal/target"
 	"spokegw/policy"
@@ -126,6 +128,15 @@
 	Handshake, Idle  time.Duration
 	Resets           float64 // a second on a connection
 	Unvalidated      int
+	Routing          *Routing // nil: connection IDs tell a balancer nothing
+}
+
+// Routing is what connection IDs tell a balancer before many instances.
+type Routing struct {
+	Config byte   // rotation codepoint
+	Server string // this instance's ID, in hexadecimal digits
+	Nonce  int    // bytes
+	Key    string // a file with a key in hexadecimal digits; "": all is in plain
 }
 
 // Load reads the file at path.
@@ -373,6 +384,7 @@
 		Idle:      t.duration("idle", 30*time.Second, time.Second, 10*time.Minute),
 		Resets:    t.number("resets", 50, 1, 1e6), Unvalidated: int(t.number("unvalidated", 16, 0, 100000)),
 	}
+	h.Routing = readRouting(t.table("routing"))
 	t.end()
 	if t.checkAddrOrFreePort("listen", h.Listen); h.Certificate == "" || h.Key == "" {
 		t.r.fault(t.key, "certificate and key are expected, the names of PEM files")
@@ -383,6 +395,24 @@
 	return h
 }
 
+func readRouting(t *table) *Routing {
+	if t == nil {
+		return nil
+	}
+	r := &Routing{
+		Config: byte(t.number("config", 0, 0, quiclb.MaxConfig)), Server: t.text("server", ""),
+		Nonce: int(t.number("nonce", 8, 4, 18)), Key: t.text("key", ""),
+	}
+	t.end()
+	server, err := hex.DecodeString(r.Server)
+	if err != nil {
+		t.fault("server", "hexadecimal digits in pairs are expected, not %.40q", r.Server)
+	} else if _, err := quiclb.New(quiclb.Config{Config: r.Config, Server: server, NonceLen: r.Nonce}); err != nil {
+		t.r.fault(t.key, "%v", err)
+	}
+	return r
+}
+
 // checkAddrOrFreePort: port 0 is a free one, for tests and the lab.
 func (t *table) checkAddrOrFreePort(key, addr string) {
 	if host, port, err := net.SplitHostPort(addr); err == nil && port == "0" {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -108,10 +108,14 @@
 		return nil, nil
 	}
 	h := s.config.Operator.HTTP3
+	var routing *http3.Routing
+	if r := h.Routing; r != nil {
+		routing = &http3.Routing{Config: r.Config, Server: r.Server, Nonce: r.Nonce, Key: r.Key}
+	}
 	return http3.Listen(http3.Config{
 		Listen: h.Listen, Certificate: h.Certificate, Key: h.Key, Connections: h.Connections, Streams: h.Streams,
 		StreamWindow: h.StreamWindow, ConnectionWindow: h.ConnectionWindow, MaxHead: h.MaxHead,
-		Front: http3Front, Handshake: h.Handshake, Idle: h.Idle, Resets: h.Resets, Unvalidated: h.Unvalidated, Secret: s.config.Name,
+		Front: http3Front, Handshake: h.Handshake, Idle: h.Idle, Resets: h.Resets, Unvalidated: h.Unvalidated, Routing: routing, Secret: s.config.Name,
 	}, s.core)
 }
 
