front: keep times of connections by a clock that nobody sets

Both fronts kept when a connection was last used as a number of the time of day: a step of an hour would have closed every connection as one that has rested for an hour, over HTTP/3 also one whose client waits. They count from the process's start now, and deadlines carry the monotonic reading.

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"spokegw/internal/framing"
+	"spokegw/internal/front"
 	"spokegw/internal/peek"
 )
 
@@ -34,8 +35,8 @@
 	serving atomic.Bool // a request was handed out and its answer has not begun
 	extra   atomic.Bool // something came behind that request
 
-	due     atomic.Int64 // Unix nanoseconds at which reading is to end; 0: it is not
-	moved   atomic.Int64 // Unix nanoseconds when bytes last went either way
+	due     atomic.Int64 // as front.Now, when reading is to end; 0: it is not
+	moved   atomic.Int64 // as front.Now, when bytes last went either way
 	begun   atomic.Int64 // when the latest request's first byte came, or the connection
 	heard   atomic.Bool  // something was read from it
 	resting atomic.Bool  // it has had an answer and nothing came since
@@ -75,7 +76,7 @@
 		n, err = c.TCPConn.Read(b)
 	}
 	if n > 0 {
-		now := time.Now().UnixNano()
+		now := int64(front.Now())
 		if c.heard.Swap(true); c.resting.Swap(false) || len(c.head) == 0 && c.left == 0 && !c.through {
 			c.begun.Store(now)
 		}
@@ -96,23 +97,19 @@
 // machine that is always short of processors, where a slow sender would have
 // the oversleep more each time.
 func (c *clientConn) overslept() bool {
-	due := time.Unix(0, c.due.Load())
-	now := time.Now()
-	if due.Before(longAgo) || now.Sub(due) < oversleep || !c.readable() {
+	due, now := time.Duration(c.due.Load()), front.Now()
+	if due <= 0 || now-due < oversleep || !c.readable() { // net/http calls off a read by a time long ago
 		return false
 	}
-	return c.SetReadDeadline(now.Add(oversleep)) == nil
+	return c.SetReadDeadline(front.At(now+oversleep)) == nil
 }
 
-// longAgo is after the deadlines by which net/http calls off a read.
-var longAgo = time.Unix(1e9, 0)
-
 // SetReadDeadline sets when reading is due to end.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() {
 		c.due.Store(0)
 	} else {
-		c.due.Store(t.UnixNano())
+		c.due.Store(int64(front.Until(t)))
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
@@ -206,7 +203,7 @@
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.TCPConn.Write(b)
 	if n > 0 {
-		c.moved.Store(time.Now().UnixNano())
+		c.moved.Store(int64(front.Now()))
 	}
 	return n, err
 }
@@ -256,7 +253,7 @@
 func (t *connTable) thin() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	long := time.Now().Add(-t.rest).UnixNano()
+	long := int64(front.Now() - t.rest)
 	for c := range t.conns {
 		if t.kept < t.crowd {
 			return
@@ -284,7 +281,7 @@
 // add takes a new connection into the table; nil if there is no room for it.
 func (t *connTable) add(nc *net.TCPConn) *clientConn {
 	c := &clientConn{TCPConn: nc, table: t}
-	now := time.Now().UnixNano()
+	now := int64(front.Now())
 	c.moved.Store(now)
 	c.begun.Store(now)
 	t.mu.Lock()
@@ -316,7 +313,7 @@
 // said so far: once it has been read, closing loses it. What waits unread is
 // left alone too. With nothing else there it reports false.
 func (t *connTable) evict() bool {
-	long := time.Now().Add(-t.rest).UnixNano()
+	long := int64(front.Now() - t.rest)
 	var worst *clientConn
 	least := 0
 	for c := range t.conns {
@@ -376,13 +373,13 @@
 
 // count counts the connections: all, those with a request taken, and of those
 // the ones on which something moved since.
-func (t *connTable) count(since time.Time) (all, busy, moving int) {
+func (t *connTable) count(since time.Duration) (all, busy, moving int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.conns {
 		if c.busy {
 			busy++
-			if c.moved.Load() >= since.UnixNano() {
+			if c.moved.Load() >= int64(since) {
 				moving++
 			}
 		}
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -41,7 +41,7 @@
 		in.refuse(w, r, rc, conn, refused)
 		return
 	}
-	rc.SetReadDeadline(time.Unix(0, conn.begun.Load()).Add(requestPatience))
+	rc.SetReadDeadline(front.At(time.Duration(conn.begun.Load()) + requestPatience))
 	body, err := front.ReadBody(r.Body, r.ContentLength, x.Hold)
 	if err != nil {
 		x.Drop()
@@ -80,7 +80,7 @@
 	rc.EnableFullDuplex() // else the server reads the body before it lets the answer out
 	in.write(w, conn, a)
 	rc.Flush()
-	rc.SetReadDeadline(time.Unix(0, conn.begun.Load()).Add(requestPatience))
+	rc.SetReadDeadline(front.At(time.Duration(conn.begun.Load()) + requestPatience))
 	if n, err := io.Copy(io.Discard, r.Body); err != nil || n != r.ContentLength {
 		panic(http.ErrAbortHandler) // the server would take the rest for a request
 	}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -11,6 +11,7 @@
 
 	"spokegw/internal/core"
 	"spokegw/internal/framing"
+	"spokegw/internal/front"
 )
 
 const (
@@ -112,7 +113,7 @@
 	s.listener.Close()
 	for {
 		s.conns.closeSilent()
-		all, busy, moving := s.conns.count(time.Now().Add(-stillMoving))
+		all, busy, moving := s.conns.count(front.Now() - stillMoving)
 		late := time.Since(asked) > acceptAfterStop+s.core.Deadline()
 		if all == 0 || late && moving == 0 {
 			slog.Info("stopped", "connections", all, "requests", busy)
--- a/internal/front/http3/conn.go
+++ b/internal/front/http3/conn.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"spokegw/internal/front"
 )
 
 // conn is what is known of a client's connection beside what QUIC knows.
 type conn struct {
 	quic     *quic.Conn
 	requests atomic.Int64 // that the handler has
-	served   atomic.Int64 // Unix nanoseconds when one was last answered, or the connection made
+	served   atomic.Int64 // as front.Now, when one was last answered, or the connection made
 
 	mu     sync.Mutex
 	resets bucket
@@ -21,16 +23,16 @@
 
 func newConn(qc *quic.Conn, resets float64, now time.Time) *conn {
 	c := &conn{quic: qc, resets: bucket{rate: resets, left: resets, at: now}}
-	c.served.Store(now.UnixNano())
+	c.served.Store(int64(front.Now()))
 	return c
 }
 
 // heldFor is how long the connection has been open with nothing to show for it.
-func (c *conn) heldFor(now time.Time) time.Duration {
+func (c *conn) heldFor() time.Duration {
 	if c.requests.Load() > 0 {
 		return 0
 	}
-	return now.Sub(time.Unix(0, c.served.Load()))
+	return front.Now() - time.Duration(c.served.Load())
 }
 
 // cancelled counts a request that its client gave up. It reports whether there
--- a/internal/front/http3/handler.go
+++ b/internal/front/http3/handler.go
@@ -25,7 +25,7 @@
 	}
 	c.requests.Add(1)
 	defer func() {
-		c.served.Store(time.Now().UnixNano())
+		c.served.Store(int64(front.Now()))
 		c.requests.Add(-1)
 	}()
 	rc := http.NewResponseController(w)
--- a/internal/front/http3/server.go
+++ b/internal/front/http3/server.go
@@ -245,10 +245,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
 			patience := max(s.patience, s.core.Deadline()+requestPatience)
 			for _, c := range s.each() {
-				if c.heldFor(now) > patience {
+				if c.heldFor() > patience {
 					c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeExcessiveLoad), "no request has come whole")
 				}
 			}
