--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -15,6 +15,7 @@
 type Budget struct {
 	mu      sync.Mutex
 	total   int64
+	used    int64 // by all parts, also those that have left
 	claimed int64 // over all parts, the larger of what is used and what is reserved
 	parts   map[*Part]struct{}
 	freed   chan struct{} // closed when something has been given back; nil: nobody waits
@@ -90,16 +91,18 @@
 }
 
 // TryAcquire takes n things; it reports false, and takes none, where there is
-// no room.
+// no room. A reserve that has grown may be in use elsewhere still: it is there
+// once that has been released, and no more is ever in use than there is.
 func (p *Part) TryAcquire(n int64) bool {
 	b := p.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	more := max(p.used+n, p.reserve) - max(p.used, p.reserve)
-	if p.used+n > p.reserve && b.claimed+more > b.total {
+	if b.used+n > b.total || p.used+n > p.reserve && b.claimed+more > b.total {
 		return false
 	}
 	p.used += n
+	b.used += n
 	b.claimed += more
 	return true
 }
@@ -114,6 +117,7 @@
 	defer b.mu.Unlock()
 	b.claimed -= max(p.used, p.reserve) - max(p.used-n, p.reserve)
 	p.used -= n
+	b.used -= n
 	b.wake()
 }
 
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -61,8 +61,8 @@
 }
 
 // The count of what is claimed against adding it up, through parts that come
-// and go; nobody is refused within his reserve, and no more is used than there
-// is, but for what was in use before a reserve was made.
+// and go; no more is used than there is, and nobody is refused within his reserve
+// while there is.
 func TestAgainstSum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := New(int64(rapid.IntRange(1, 60).Draw(t, "total")))
@@ -84,7 +84,7 @@
 					sum += q.used
 				}
 				within := p.used+n <= p.reserve
-				if got := p.TryAcquire(n); got && !within && sum > b.total || !got && within {
+				if got := p.TryAcquire(n); got && sum > b.total || !got && within && sum <= b.total {
 					t.Fatalf("%d of %d in use, %d asked for within a reserve (%v): %v", sum-n, b.total, n, within, got)
 				}
 			},
--- a/internal/sidecar/contracts_test.go
+++ b/internal/sidecar/contracts_test.go
@@ -532,3 +532,45 @@
 	}
 	return least
 }
+
+// A service is added while another holds every descriptor, on requests that are
+// under way: the new one has its reserve as they end, and no more is open
+// meanwhile than there may be.
+func TestServiceAddedInCrowd(t *testing.T) {
+	const descriptors = 23 // of 64
+	arrived := make(chan struct{}, 100)
+	seen := func(*http.Request) { arrived <- struct{}{} }
+	s := start(t, scene.Config{Sockets: 64, Maps: []lab.EndpointConfig{{Workers: 64, Body: 10, Seen: seen}},
+		Operator: maps + contract("kiosks", 0.5, "service = 'maps'")})
+	s.Maps[0].Silence()
+	answers := make(chan int, 30)
+	for range 28 {
+		go func() { answers <- ask(t, s, tile("kiosks")).status }()
+	}
+	for range descriptors {
+		select {
+		case <-arrived:
+		case <-time.After(patience):
+			t.Fatal("the crowd does not arrive")
+		}
+	}
+	e := endpoint(t, lab.EndpointConfig{Workers: 8, Body: 20})
+	if err := s.Reload(maps + weather("/forecast", e) + contract("kiosks", 0.5, "service = 'maps'", "service = 'weather'")); err != nil {
+		t.Fatal(err)
+	}
+	forecast := func(give time.Duration) int {
+		return ask(t, s, &lab.Load{Team: "kiosks", Path: "/forecast/today", Kind: "forecast", Give: give}).status
+	}
+	if status := forecast(time.Second); status == 200 || e.MostOpen() > 0 {
+		t.Errorf("with %d descriptors in use, all there are, another is opened: status %d", descriptors, status)
+	}
+	s.Maps[0].Speak()
+	if status := forecast(7 * time.Second); status != 200 {
+		t.Errorf("with the crowd answered, the new service's client is answered %d", status)
+	}
+	for range 28 {
+		if status := <-answers; status != 200 && status != 503 { // for want of a descriptor
+			t.Errorf("of the crowd one is answered %d", status)
+		}
+	}
+}
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -102,7 +102,7 @@
 		r.known, r.asks = s.config.Known.Servers, s.config.Settings.Policy.OnRequest
 		r.watcher = discovery.NewWatcher(s.config.Discovery, s.config.Known.Version, r.service)
 	case d.Registry != "":
-		if !shares.Slots.TryAcquire(1) {
+		if !shares.Slots.TryAcquire(1) && !(shares.Slots.Reclaim() && shares.Slots.TryAcquire(1)) {
 			r.retire()
 			return nil, fmt.Errorf("service %q: no descriptor is left for the watch on its registry", d.Name)
 		}
