--- /dev/null
+++ b/bench/mutants/main.go
@@ -0,0 +1,138 @@
+// Command mutants breaks the code on purpose, one place at a time, and runs the
+// explorations that ought to find it. A property that no mutant breaks has not
+// been shown to be checked. The sources are not touched: each mutant is an
+// overlay of the go command.
+//
+//	go run ./bench/mutants
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+)
+
+// mutant is a change of one place and the property that it breaks.
+type mutant struct {
+	file, from, to string
+	test           string // that explores the file's package
+	breaks         string // in the words of the property
+}
+
+const (
+	budgets = "TestEveryOrder"
+	charges = "TestChargesInEveryOrder"
+
+	over     = "more is in use than there is"
+	counted  = "what is counted is not what is in use"
+	gone     = "a part that has left keeps a reserve"
+	starved  = "a part is refused within its reserve although there is room"
+	attempts = "the attempts that are counted are not those that are out"
+	out      = "nothing is out, and work is counted as out"
+	kept     = "nothing ran, and something is still charged"
+	tokens   = "a team has attempts below 0 or beyond what may be saved up"
+)
+
+var mutants = []mutant{
+	{"internal/budget/budget.go", "b.used+n > b.total || ", "", budgets, over},
+	{"internal/budget/budget.go", "	b.used -= n\n", "", budgets, starved},
+	{"internal/budget/budget.go", "	p.used -= n\n", "", budgets, counted},
+	{"internal/budget/budget.go", "	p.setReserve(0)\n", "", budgets, gone},
+	{"internal/budget/budget.go", "p.budget.claimed += max(p.used, n) - max(p.used, p.reserve)", "p.budget.claimed += n - p.reserve", budgets, counted},
+	{"internal/budget/budget.go", "max(p.used+n, p.reserve) - max(p.used, p.reserve)", "n", budgets, counted},
+	{"internal/budget/budget.go", "p.used+n > p.reserve && b.claimed+more > b.total", "b.claimed+n > b.total", budgets, starved},
+
+	{"internal/broker/capacity.go", "if c.attempts--; c.attempts <= 0 {", "if c.attempts <= 0 {", charges, attempts},
+	{"internal/broker/capacity.go", "	c.attempts++\n", "	c.attempts += 2\n", charges, attempts},
+	{"internal/broker/capacity.go", "		c.attempts, c.out = 0, 0 // rounding errors do not pile up\n	}\n	c.out = math.Max(c.out-t.work, 0)\n", "		c.attempts = 0\n	}\n", charges, out},
+	{"internal/broker/broker.go", "	t.standing().work.charge(b.now, t.call.workLimit(), -t.work)\n", "", charges, kept},
+	{"internal/broker/broker.go", "	t.standing().work.charge(b.now, t.call.workLimit(), -t.work)\n", "	t.call.work.charge(b.now, t.call.workLimit(), -t.work)\n", charges, kept},
+	{"internal/broker/broker.go", "		b.shares.refund(&t.account.share, t.work)\n", "", charges, kept},
+	{"internal/broker/broker.go", "if e == Declined || e == Unrun {", "if e == Unrun {", charges, kept},
+	{"internal/broker/broker.go", "	if again {\n		t.account.tokens", "	if false {\n		t.account.tokens", charges, kept},
+	{"internal/broker/broker.go", "t.account.tokens = math.Min(t.account.tokens+1, t.account.most)", "t.account.tokens++", charges, tokens},
+	{"internal/broker/broker.go", "a.tokens = math.Min(a.tokens+retryPerRequest, a.most)", "a.tokens += retryPerRequest", charges, tokens},
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "mutants:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	dir, err := os.MkdirTemp("", "spokegw-mutants-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	missed := 0
+	for i, m := range mutants {
+		events, property, err := try(m, filepath.Join(dir, fmt.Sprint(i)))
+		if err != nil {
+			return err
+		}
+		switch {
+		case property == "":
+			missed++
+			fmt.Printf("MISSED  %s: %s\n", m.file, strings.TrimSpace(m.from))
+		case property != m.breaks:
+			missed++
+			fmt.Printf("found after %2d events, but as %q: %s: %s\n", events, property, m.file, strings.TrimSpace(m.from))
+		default:
+			fmt.Printf("found after %2d events: %s\n", events, property)
+		}
+	}
+	fmt.Printf("%d mutants, %d missed or taken for something else\n", len(mutants), missed)
+	if missed > 0 {
+		return fmt.Errorf("%d are not found", missed)
+	}
+	return nil
+}
+
+var (
+	numbered = regexp.MustCompile(`(?m)^[^\n]*?\b(\d+)\. `)
+	end      = regexp.MustCompile(`then: (.*)`)
+)
+
+// try runs the exploration with the mutant in place. It tells the length of the
+// counterexample and the property that it breaks; "" where there is none.
+func try(m mutant, folder string) (events int, property string, err error) {
+	text, err := os.ReadFile(m.file)
+	if err != nil {
+		return 0, "", err
+	}
+	if n := strings.Count(string(text), m.from); n != 1 {
+		return 0, "", fmt.Errorf("%s has %q %d times, once is expected", m.file, m.from, n)
+	}
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		return 0, "", err
+	}
+	changed, overlay := filepath.Join(folder, "changed.go"), filepath.Join(folder, "overlay.json")
+	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), m.from, m.to, 1)), 0o600); err != nil {
+		return 0, "", err
+	}
+	place, err := filepath.Abs(m.file)
+	if err != nil {
+		return 0, "", err
+	}
+	json, _ := json.Marshal(map[string]any{"Replace": map[string]string{place: changed}})
+	if err := os.WriteFile(overlay, json, 0o600); err != nil {
+		return 0, "", err
+	}
+	// The exit code tells nothing that the output does not.
+	output, _ := exec.Command("go", "test", "-count=1", "-vet=off", "-overlay", overlay, "-run", "^"+m.test+"$", "./"+filepath.Dir(m.file)).CombinedOutput()
+	found := end.FindSubmatch(output)
+	if found == nil {
+		if strings.Contains(string(output), "build failed") {
+			return 0, "", fmt.Errorf("a mutant of %s can't be built: %s", m.file, output)
+		}
+		return 0, "", nil
+	}
+	return len(numbered.FindAllSubmatch(output, -1)), string(found[1]), nil
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -117,6 +117,16 @@
 	admitted time.Duration
 }
 
+// standing is the call that the ticket's charges stand at: where contracts have
+// been replaced since, the one that has taken them over. What is charged or given
+// back is counted by the limits that it was admitted by.
+func (t *Ticket) standing() *call {
+	if c := t.account.find(t.class); c != nil {
+		return c
+	}
+	return t.call
+}
+
 // New makes a broker. The terms have been checked: shares are not negative and
 // sum to at most 1, classes are at most MaxClasses, limits are positive.
 func New(now time.Duration, t Terms) *Broker {
@@ -277,7 +287,7 @@
 		return false
 	}
 	a.tokens--
-	t.call.work.charge(b.now, t.call.workLimit(), t.work)
+	t.standing().work.charge(b.now, t.call.workLimit(), t.work)
 	if !a.removed {
 		b.shares.charge(&a.share, b.capacity.rate(), t.work)
 	}
@@ -319,7 +329,7 @@
 	if again {
 		t.account.tokens = math.Min(t.account.tokens+1, t.account.most)
 	}
-	t.call.work.charge(b.now, t.call.workLimit(), -t.work)
+	t.standing().work.charge(b.now, t.call.workLimit(), -t.work)
 	if !t.account.removed {
 		b.shares.refund(&t.account.share, t.work)
 	}
@@ -330,7 +340,7 @@
 func (b *Broker) Withdraw(now time.Duration, t *Ticket, asked bool) {
 	b.Ended(now, t, false, Unrun, 0, 0)
 	if !asked {
-		t.call.requests.charge(b.now, t.call.requestLimit(), -1)
+		t.standing().requests.charge(b.now, t.call.requestLimit(), -1)
 	}
 }
 
