spokegw: put the bounds of the program's pause test back

They had been loosened after 5 of 400 requests were 503 beside the whole suite under the race detector, on a guess and without a cause.

--- a/cmd/spokegw/pause_test.go
+++ b/cmd/spokegw/pause_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -119,13 +120,16 @@
 		if err != nil {
 			t.Fatalf("request %d has no answer: %v", i, err)
 		}
+		if resp.StatusCode == 503 {
+			text, _ := io.ReadAll(resp.Body)
+			t.Logf("503: %s", text)
+		}
 		resp.Body.Close()
 		status[resp.StatusCode]++
 	}
 	allowed := burst + 1 + int(rate*time.Since(goesOn).Seconds())
 	t.Logf("answered %v, in %v; up to %d may be let out", status, time.Since(goesOn), allowed)
-	// On a machine that is short of processors some may be 503: not let out either.
-	if status[200] == 0 || status[200] > allowed || status[200]+status[429]+status[503] != asked {
-		t.Errorf("after the pause %v are answered, up to %d of 200 are expected and else refusals", status, allowed)
+	if status[200] < burst || status[200] > allowed || status[200]+status[429] != asked {
+		t.Errorf("after the pause %v are answered, from %d to %d of 200 are expected and else 429", status, burst, allowed)
 	}
 }
