core: zones that no setting names stay apart

A list may name more zones than the settings do. endpoints.apply took max(slices.Index(t.zones, e.Zone), 0), which made such a zone the first that is named: two of them were one, and a repeat of a key that is dropped within a zone could go where nobody drops it. They are numbered by their names now.

TestZonesThatNoSettingNamesStayApart fails without it (0, 0 and 0 again).

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -49,6 +49,20 @@
 	return id
 }
 
+// zone gives a zone its number: its place in the settings, or beyond them one made of its
+// name, the same in every process. What it guards against: a list names more zones than the
+// settings do, and a keyed repeat that is dropped within the first zone goes to another
+// that was taken for it. Two names whose hashes meet, one pair in 2^32, stay one zone.
+func (t *endpoints) zone(name string) int {
+	i := slices.Index(t.zones, name)
+	if i >= 0 || len(t.zones) == 0 && name == "" {
+		return max(i, 0)
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return len(t.zones) + int(h.Sum32())
+}
+
 // apply takes a list, or changes, and returns what the module is to be told. It
 // calls forget for the endpoints that are to get nothing new from now on.
 func (t *endpoints) apply(entries []discovery.Entry, full bool, forget func(upstream.Endpoint)) []policy.Endpoint {
@@ -56,7 +70,7 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		p := policy.Endpoint{
-			Kind: max(slices.Index(t.kinds, e.Kind), 0), Zone: max(slices.Index(t.zones, e.Zone), 0), Cell: e.Cell,
+			Kind: max(slices.Index(t.kinds, e.Kind), 0), Zone: t.zone(e.Zone), Cell: e.Cell,
 			Started: time.Duration(e.StartedMS) * time.Millisecond, Nominal: e.Weight,
 		}
 		switch e.State {
