--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -24,6 +24,7 @@
 type Config struct {
 	Listen    string               // "": a free port
 	Maps      []lab.EndpointConfig // endpoints of the platform's service
+	Listed    []discovery.Entry    // what the registry lists; nil: Maps
 	Operator  string               // the operator's file; "": none
 	Sockets   int                  // the sidecar's limit; 0: 1,024
 	MemoryMB  int                  // 0: 128
@@ -68,6 +69,14 @@
 	return entries
 }
 
+// listed is the list as told, or that of the endpoints.
+func listed(told []discovery.Entry, endpoints []*lab.Endpoint) []discovery.Entry {
+	if told != nil {
+		return told
+	}
+	return Entries(endpoints...)
+}
+
 // Start puts a scene up. It ends with Close.
 func Start(c Config) (*Scene, error) {
 	s := &Scene{ended: make(chan error, 1), stop: func() {}, made: c}
@@ -92,7 +101,7 @@
 	var err error
 	if b := c.Beside; b != nil {
 		s.Maps, s.Registry, s.beside = b.Maps, b.Registry, true
-	} else if s.Registry, err = lab.StartRegistry(Entries(s.Maps...), nil); err != nil {
+	} else if s.Registry, err = lab.StartRegistry(listed(c.Listed, s.Maps), nil); err != nil {
 		return err
 	}
 	if s.config, err = sidecar.ParseConfig("platform", s.platform(c, Classes(c))); err != nil {
@@ -180,7 +189,7 @@
 // platform is the configuration that the platform would give.
 func (s *Scene) platform(c Config, classes []Class) []byte {
 	return Configuration(Platform{
-		Listen: cmp.Or(c.Listen, "127.0.0.1:0"), Management: "127.0.0.1:0", Registry: s.Registry.Addr(), Endpoints: s.Maps,
+		Listen: cmp.Or(c.Listen, "127.0.0.1:0"), Management: "127.0.0.1:0", Registry: s.Registry.Addr(), Endpoints: s.Maps, Listed: c.Listed,
 		MemoryMB: c.MemoryMB, Sockets: c.Sockets, MaxTries: c.MaxTries, SecondCopies: c.SecondTry, Classes: classes,
 		ConnectTimeout: time.Second, // on a machine that is short of processors 100 ms pass before a stand-in accepts
 	})
@@ -192,9 +201,10 @@
 	Listen, Management string // Management "": not told
 	Registry           string
 	Endpoints          []*lab.Endpoint
-	MemoryMB, Sockets  int           // 0: 128 and 1,024
-	MaxTries           int           // 0: 3
-	ConnectTimeout     time.Duration // 0: 100 ms
+	Listed             []discovery.Entry // in place of them; nil: they are
+	MemoryMB, Sockets  int               // 0: 128 and 1,024
+	MaxTries           int               // 0: 3
+	ConnectTimeout     time.Duration     // 0: 100 ms
 	SecondCopies       bool
 	Classes            []Class
 }
@@ -204,7 +214,7 @@
 	text, _ := json.Marshal(map[string]any{ // of plain values
 		"name": cmp.Or(p.Name, "lab"), "listen": p.Listen, "discovery": p.Registry, "management": p.Management,
 		"limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(p.MemoryMB, 128), "sockets": cmp.Or(p.Sockets, 1024)},
-		"known":  map[string]any{"version": 1, "full": true, "servers": Entries(p.Endpoints...)},
+		"known":  map[string]any{"version": 1, "full": true, "servers": listed(p.Listed, p.Endpoints)},
 		"settings": map[string]any{
 			"fleet_size": 1, "discovery": "pushed", "kinds": []string{"std"},
 			"limits": map[string]any{
