--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -30,7 +30,8 @@
 	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nReq-Deadline: ", path, to.Addr)
 	go func() {
 		defer logPanic("probe")
-		a := s.pool.Do(context.Background(), to, &upstream.Request{Head: head}, probePatience, nil)
+		ctx, cancel := context.WithCancelCause(context.Background())
+		a := s.pool.Do(ctx, cancel, to, &upstream.Request{Head: head}, probePatience, nil)
 		defer a.Free()
 		r := policy.ProbeResult{Endpoint: id, Result: a.Result}
 		if a.Result == policy.Served {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -296,7 +296,9 @@
 		}
 		note = s.noteSent(c, known)
 		c.trace.sending(a.n, known.name)
-		c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
+		if c.trace != nil { // the arguments are allocated even where nobody looks on
+			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
+		}
 	}
 	go func() {
 		// Should the attempt panic, the request still needs an end.
@@ -308,7 +310,7 @@
 			result = upstream.Answer{Result: policy.NotSent} // nobody would know of it after a kill
 			return
 		}
-		result = s.pool.Do(ctx, e, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
+		result = s.pool.Do(ctx, cancel, e, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
 	}()
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -1,10 +1,8 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -53,22 +51,20 @@
 // to come; fields calls each for the other fields. The head ends in
 // Req-Deadline, whose value is left to the attempt.
 func NewRequest(method, target, host string, length int64, fields func(each func(name, value string))) *Request {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, host)
+	b := make([]byte, 0, usualHead)
+	b = append(append(append(b, method...), ' '), target...)
+	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), host...), "\r\n"...)
 	fields(func(name, value string) {
-		b.WriteString(name)
-		b.WriteString(": ")
-		b.WriteString(value)
-		b.WriteString("\r\n")
+		b = append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
 	})
 	switch {
 	case length >= 0:
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), length, 10), "\r\n"...)
 	case length == ChunkedLength:
-		b.WriteString("Transfer-Encoding: chunked\r\n")
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
 	}
-	b.WriteString("Req-Deadline: ")
-	return &Request{Head: b.Bytes(), headOnly: method == http.MethodHead}
+	b = append(b, "Req-Deadline: "...)
+	return &Request{Head: b, headOnly: method == http.MethodHead}
 }
 
 const (
@@ -88,6 +84,8 @@
 	// one, whose pieces come together: its first bytes are what its client waits
 	// for. One that is short and slow, and then breaks off, is not tried again.
 	mostHeld = 20 * time.Millisecond
+	// usualHead is what most heads fit in, in bytes.
+	usualHead = 512
 	// inlineWrite is what every fresh socket buffer takes without waiting.
 	inlineWrite = 8 << 10
 	// answerPatience is for the next piece of an answer, from its first byte on.
@@ -135,13 +133,13 @@
 }
 
 // Do makes an attempt on the endpoint and waits for its end: an answer that is
-// whole, a failure, the time-out, or the end of ctx. A long answer is given to
+// whole, a failure, the time-out, or the end of ctx, which is this attempt's alone: cancel
+// ends it, and Do does so itself in the end. A long answer is given to
 // stream as it begins, which returns whether it is wanted; Do then goes on until
 // that has been closed. Without stream long answers are failures.
-func (p *Pool) Do(ctx context.Context, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) Answer {
-	t := &try{start: time.Now(), stream: stream, req: req}
-	t.ctx, t.cancel = context.WithCancelCause(ctx)
-	defer t.cancel(nil)
+func (p *Pool) Do(ctx context.Context, cancel context.CancelCauseFunc, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) Answer {
+	t := &try{start: time.Now(), stream: stream, req: req, ctx: ctx, cancel: cancel}
+	defer cancel(nil)
 	t.deadline = t.start.Add(timeout)
 	t.expiry = time.AfterFunc(timeout, func() { t.cancel(errTimedOut) })
 	defer t.expiry.Stop()
@@ -315,18 +313,22 @@
 
 func startWrite(c *conn, t *try) *write {
 	req := t.req
-	head := append(make([]byte, 0, len(req.Head)+32), req.Head...)
+	body := req.Body
+	if len(body) > inlineWrite {
+		body = nil // is not copied
+	}
+	head := append(make([]byte, 0, len(req.Head)+32+len(body)), req.Head...)
 	head = strconv.AppendInt(head, max(t.left().Microseconds(), 1), 10)
 	head = append(head, "u\r\n\r\n"...)
 	if req.Rest != nil {
 		return startStream(c, t, head)
 	}
-	parts := net.Buffers{head, req.Body}
-	total := int64(len(head) + len(req.Body))
-	if total <= inlineWrite {
-		n, _ := parts.WriteTo(c.TCPConn) // an error shows in the answer
-		return &write{sent: n == total}
+	if len(head)+len(req.Body) <= inlineWrite {
+		head = append(head, req.Body...)
+		n, _ := c.TCPConn.Write(head) // an error shows in the answer
+		return &write{sent: n == len(head)}
 	}
+	parts, total := net.Buffers{head, req.Body}, int64(len(head)+len(req.Body))
 	w := &write{done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -55,7 +55,8 @@
 // do makes an attempt and reads what is streamed of its answer into Body.
 func do(p *Pool, ctx context.Context, e Endpoint, r *Request, timeout time.Duration) Answer {
 	var text []byte
-	a := p.Do(ctx, e, r, timeout, func(long Answer) bool {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := p.Do(ctx, cancel, e, r, timeout, func(long Answer) bool {
 		go func() {
 			rest, _ := io.ReadAll(long.Stream)
 			text = append(long.Body, rest...)
