fleet: why requests were late or not served, by cause, over all records

A record tells the aim of its class now, and bench/fleet tells apart what was refused at the door, had no room, met an endpoint that fell silent, was cold, was slow, came in a full fleet, or was late alone.

--- a/bench/fleet/count.go
+++ b/bench/fleet/count.go
@@ -15,7 +15,9 @@
 // request is what is read of a recorded one.
 type request struct {
 	At     time.Time     `json:"at"`
+	Class  string        `json:"class"`
 	Status int           `json:"status"`
+	Aim    time.Duration `json:"aim_ns"`
 	Took   time.Duration `json:"took_ns"`
 	Sent   []struct {
 		After    time.Duration `json:"after_ns"`
@@ -33,10 +35,11 @@
 	declined, unconnected, silent           int
 	calls, turnedAway                       int // of discovery
 	to                                      map[string]*sent
+	lost                                    []loss // what was late or not served
 }
 
 // sent is what one endpoint got in a second.
-type sent struct{ all, bad int }
+type sent struct{ all, bad, late int }
 
 // change is a state of an endpoint as discovery told it.
 type change struct{ id, state, started string }
@@ -152,6 +155,7 @@
 	case r.Status != 0:
 		of.failed++
 	}
+	of.lose(r)
 	var busy time.Duration // until when an attempt before was out
 	for i, a := range r.Sent {
 		of := c.second(r.At.Add(a.After))
@@ -176,6 +180,9 @@
 			of.to[a.Endpoint] = to
 		}
 		to.all++
+		if a.Result == "served" && r.Aim > 0 && a.Took > r.Aim {
+			to.late++
+		}
 		switch a.Result {
 		case "turned away":
 			of.declined++
@@ -257,6 +264,7 @@
 			s.attempts, s.repeats, s.copies, s.dialled, s.declined, s.unconnected, s.silent, 100*s.sick(), c.coldOver(n, s), s.calls, s.turnedAway)
 	}
 	w.Flush()
+	c.printCauses(to, from, until)
 	if lags := c.lags(); len(lags) > 0 {
 		at := func(q float64) time.Duration {
 			return lags[int(q*float64(len(lags)-1))].Round(time.Millisecond)
--- a/bench/fleet/count_test.go
+++ b/bench/fleet/count_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -42,7 +44,46 @@
 	}
 	var out strings.Builder
 	c.print(&out, time.Second, time.Minute)
-	if text := out.String(); strings.Count(text, "\n") != 4 || !strings.Contains(text, "all 2s") {
+	if text := out.String(); strings.Count(text, "\n") != 7 || !strings.Contains(text, "all 2s") {
 		t.Errorf("printed\n%s", text)
 	}
 }
+
+// Each cause is told from the others, whichever log and whatever order its lines come in.
+func TestCauses(t *testing.T) {
+	c := newCounts(20 * time.Second)
+	s := &sidecar{name: "a"}
+	add := func(status int, took, sent string) {
+		c.line(s, `{"at":"2026-12-01T10:00:00.4Z","class":"tile","aim_ns":100,"status":`+fmt.Sprint(status)+`,"took_ns":`+took+`,"sent":[`+sent+`]}`)
+	}
+	one := func(endpoint, result, took string) string {
+		return `{"after_ns":0,"endpoint":"` + endpoint + `","result":"` + result + `","took_ns":` + took + `}`
+	}
+	for range 20 {
+		add(200, "50", one("good", "served", "50"))
+	}
+	for range 2 {
+		add(200, "150", one("slow", "served", "150"))
+	}
+	add(200, "150", one("cold", "served", "150"))
+	add(200, "150", one("good", "served", "150"))
+	add(200, "190", one("gone", "no answer", "90")+`,{"after_ns":90,"endpoint":"good","result":"served","took_ns":90}`)
+	add(502, "150", one("gone", "connection lost", "50"))
+	add(503, "1", "")
+	add(503, "2", one("full", "turned away", "1"))
+	add(0, "500", one("good", "called off", "500")) // its client left
+	c.line(s, `time=2026-12-01T10:00:05Z level=INFO msg=endpoint id=cold addr=x state=active started_ms=1796119200000`)
+	got := map[cause]int{}
+	for i := range c.seconds[0].lost {
+		got[c.why(0, c.seconds[0], &c.seconds[0].lost[i])]++
+	}
+	if want := map[cause]int{wasSlow: 2, wasCold: 1, wasLong: 1, fellSilent: 2, atDoor: 1, noRoom: 1}; !maps.Equal(got, want) {
+		t.Errorf("causes %v, want %v", got, want)
+	}
+	for range 20 {
+		add(200, "150", one("good", "served", "150"))
+	}
+	if l := c.seconds[0].lost; c.why(0, c.seconds[0], &l[len(l)-1]) != wasFull {
+		t.Error("a full fleet was not told from one slow endpoint")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -157,7 +157,7 @@
 		t := c.table.Load()
 		m, class, q, refused := t.read(h)
 		if refused != nil {
-			c.taps.begin(h, "", "").endWith(refused)
+			c.taps.begin(h, "", "", 0).endWith(refused)
 			return nil, refused
 		}
 		// The place counts as in use before the table is known to be in force
@@ -168,7 +168,7 @@
 			continue
 		}
 		x := &Exchange{core: c, service: m.Service, place: class.place, head: h, request: q}
-		x.trace = c.taps.begin(h, m.name, class.name)
+		x.trace = c.taps.begin(h, m.name, class.name, class.rules.Aim)
 		if refused := x.service.admit(x); refused != nil {
 			x.release()
 			x.counted(refused)
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -22,6 +22,7 @@
 	Service string        `json:"service,omitempty"`
 	Class   string        `json:"class,omitempty"`
 	Team    string        `json:"team,omitempty"`
+	Aim     time.Duration `json:"aim_ns,omitempty"` // of its class
 	Steps   []Step        `json:"steps"`
 	Sent    []Sending     `json:"sent,omitempty"` // its attempts, in order
 	Status  int           `json:"status"`         // 0: its client left
@@ -124,14 +125,14 @@
 
 // begin begins the trace of a request, if somebody wants it; nil: nobody does. Of
 // several who do the first has it.
-func (t *taps) begin(h *Head, service, class string) *Trace {
+func (t *taps) begin(h *Head, service, class string, aim time.Duration) *Trace {
 	for _, tap := range t.list() {
 		f := &tap.filter
 		path, _, _ := strings.Cut(h.Target, "?")
 		team := h.Header.Get("Req-Owner")
 		fits := func(want, is string) bool { return want == "" || want == is }
 		if fits(f.Class, class) && fits(f.Team, team) && strings.HasPrefix(path, f.Path) {
-			return &Trace{At: time.Now(), ID: h.Header.Get("Req-Id"), Method: h.Method, Path: path, Service: service, Class: class, Team: team, tap: tap}
+			return &Trace{At: time.Now(), ID: h.Header.Get("Req-Id"), Method: h.Method, Path: path, Service: service, Class: class, Team: team, Aim: aim, tap: tap}
 		}
 	}
 	return nil
