fleet: a full fleet is told by the class whose answers are late

Aims differ by four: in a second in which a third of the status-reports are late few tiles are, and the fleet is full for them.

--- a/bench/fleet/cause.go
+++ b/bench/fleet/cause.go
@@ -19,7 +19,7 @@
 	fellSilent              // an attempt got no answer, or lost its connection, and what followed was late or nothing
 	wasCold                 // answered late by an endpoint that was cold
 	wasSlow                 // by one that was late for most in that second, while most others were not
-	wasFull                 // late while a quarter or more of all answers were: the fleet is full
+	wasFull                 // late while a fifth or more of its class's answers were: the fleet is full
 	wasLong                 // late for itself, among others that were in time: a heavy one, or chance
 	causes
 )
@@ -39,6 +39,14 @@
 // lose notes a request of this second that was late or not served. One whose client left
 // is neither.
 func (of *second) lose(r *request) {
+	if r.Status == 200 {
+		n := of.answers[r.Class]
+		n[0]++
+		if r.Aim > 0 && r.Took > r.Aim {
+			n[1]++
+		}
+		of.answers[r.Class] = n
+	}
 	l := loss{of: wasLong, class: r.Class, late: r.Status == 200}
 	silent, ran := false, false
 	for _, a := range r.Sent {
@@ -75,11 +83,7 @@
 	if started, known := c.started[l.endpoint]; known && at.Sub(started) < c.cold {
 		return wasCold
 	}
-	all, late := 0, 0
-	for _, to := range of.to {
-		all, late = all+to.all, late+to.late
-	}
-	if late*4 >= all {
+	if n := of.answers[l.class]; n[1]*5 >= n[0] {
 		return wasFull
 	}
 	if to := of.to[l.endpoint]; to != nil && to.late > 1 && to.late*2 > to.all {
--- a/bench/fleet/count.go
+++ b/bench/fleet/count.go
@@ -35,7 +35,8 @@
 	declined, unconnected, silent           int
 	calls, turnedAway                       int // of discovery
 	to                                      map[string]*sent
-	lost                                    []loss // what was late or not served
+	lost                                    []loss            // what was late or not served
+	answers                                 map[string][2]int // 200, by class: all, and the late ones
 }
 
 // sent is what one endpoint got in a second.
@@ -136,7 +137,7 @@
 	}
 	n := int(at.Sub(c.first) / time.Second)
 	if c.seconds[n] == nil {
-		c.seconds[n] = &second{to: map[string]*sent{}}
+		c.seconds[n] = &second{to: map[string]*sent{}, answers: map[string][2]int{}}
 	}
 	return c.seconds[n]
 }
--- a/bench/fleet/count_test.go
+++ b/bench/fleet/count_test.go
@@ -59,7 +59,7 @@
 	one := func(endpoint, result, took string) string {
 		return `{"after_ns":0,"endpoint":"` + endpoint + `","result":"` + result + `","took_ns":` + took + `}`
 	}
-	for range 20 {
+	for range 40 {
 		add(200, "50", one("good", "served", "50"))
 	}
 	for range 2 {
