upstream: a soak of the pool; the fleet's tests share one way of carrying out

The soak of a service left the pool out: 500 endpoints that come and go leave nothing of an endpoint that was forgotten or whose connections have rested. The mass fleet had a copy of many's carryOut; it hooks into it now.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -345,3 +345,40 @@
 		}
 	}
 }
+
+// Endpoints come and go by the hundred, half of them with a connection that rests: what the pool
+// holds is bounded by its connections, and nothing of an endpoint stays that was forgotten,
+// or whose connections have rested too long.
+func TestSoakOfThePool(t *testing.T) {
+	const slots = 16
+	p := newTestPool(slots, 1<<20)
+	defer p.Close()
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	for i := range 500 { // each holds a connection of the stand-in's until the end
+		e := Endpoint{ID: fmt.Sprint(i), Addr: addr}
+		if a := do(p, context.Background(), e, request(e.ID), time.Minute); a.Result != policy.Served {
+			t.Fatalf("%d: %v", i, a.Result)
+		}
+		if i%2 == 0 {
+			p.Forget(e)
+		}
+		if n := idle(p); n > slots {
+			t.Fatalf("connections to %d endpoints rest after %d requests, there is room for %d", n, i, slots)
+		}
+	}
+	p.maxIdle = 0
+	p.Sweep()
+	if n := idle(p); n != 0 {
+		t.Errorf("%d endpoints are remembered though no connection to them rests", n)
+	}
+}
+
+func idle(p *Pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
--- a/policy/many_mass_test.go
+++ b/policy/many_mass_test.go
@@ -41,6 +41,11 @@
 		cut:    func(int) bool { return false },
 		rested: map[[2]int]time.Duration{}, dials: map[int]int{}, calls: map[int]int{}, seers: seers,
 	}
+	m.attempt = m.send
+	m.subscribe = func(i int) {
+		m.calls[m.second()]++
+		m.after(50*time.Millisecond, func() { m.carryOut(i, m.sidecars[i].Endpoints(m.now, nil, false)) })
+	}
 	for range massEndpoints {
 		m.endpoints = append(m.endpoints, &busy{slow: 1, work: map[int]float64{}})
 	}
@@ -159,24 +164,6 @@
 	return best
 }
 
-func (m *mass) carryOut(i int, actions []Action) {
-	for _, a := range append([]Action(nil), actions...) {
-		switch a := a.(type) {
-		case Refuse:
-			delete(m.class, [2]int{i, int(a.Request)})
-		case Fail:
-			delete(m.class, [2]int{i, int(a.Request)})
-		case SetTimer:
-			m.after(a.In, func() { m.carryOut(i, m.sidecars[i].Timer(m.now, a.Token)) })
-		case Subscribe:
-			m.calls[m.second()]++
-			m.after(50*time.Millisecond, func() { m.carryOut(i, m.sidecars[i].Endpoints(m.now, nil, false)) })
-		case Send:
-			m.send(i, a)
-		}
-	}
-}
-
 // send plays one attempt: over a connection that rested, or a new one; to an endpoint
 // that works, is out of reach, or has been replaced.
 func (m *mass) send(i int, a Send) {
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -21,6 +21,8 @@
 	asked     [2]int
 	refused   [2]int
 	served    [2]int
+	attempt   func(i int, a Send) // plays one; nil: send
+	subscribe func(i int)         // nil: discovery is not asked
 }
 
 type busy struct {
@@ -122,8 +124,16 @@
 			delete(m.class, [2]int{i, int(a.Request)})
 		case SetTimer:
 			m.after(a.In, func() { m.carryOut(i, m.sidecars[i].Timer(m.now, a.Token)) })
+		case Subscribe:
+			if m.subscribe != nil {
+				m.subscribe(i)
+			}
 		case Send:
-			m.send(i, a)
+			if m.attempt != nil {
+				m.attempt(i, a)
+			} else {
+				m.send(i, a)
+			}
 		}
 	}
 }
