framing: answers' heads are read once, in place of a check and net/http's reader

Meant to differ: Pragma makes no Cache-Control up; an HTTP/1.0 answer in chunks is refused. Connection is read as a list, so 'x, close' ends a connection.

--- a/bench/path/main.go
+++ b/bench/path/main.go
@@ -8,7 +8,7 @@
 // System calls are the process's own, as /proc/self/io counts them (syscr, syscw): it
 // needs no privilege, and counts calls that found nothing to read too.
 //
-//	go run ./bench/path [-requests 5000] [-json] [-check bench/path/budget.json] [-write FILE]
+//	go run ./bench/path [-requests 5000] [-json] [-check bench/path/budget.json] [-write FILE] [-profile FILE]
 package main
 
 import (
@@ -21,6 +21,7 @@
 	"net"
 	"os"
 	"runtime"
+	"runtime/pprof"
 	"text/tabwriter"
 
 	"spokegw/internal/discovery"
@@ -49,14 +50,31 @@
 	asJSON := flag.Bool("json", false, "print the counts in JSON")
 	check := flag.String("check", "", "a file of agreed counts; more than those, with their margin, is an error")
 	write := flag.String("write", "", "write the counts there as those agreed")
+	profile := flag.String("profile", "", "write where everything was allocated there, for go tool pprof -sample_index=alloc_objects")
 	flag.Parse()
+	if *profile != "" {
+		runtime.MemProfileRate = 1
+	}
 	slog.SetDefault(slog.New(slog.DiscardHandler))
-	if err := run(*requests, *asJSON, *check, *write); err != nil {
+	err := run(*requests, *asJSON, *check, *write)
+	if *profile != "" {
+		err = errors.Join(err, writeProfile(*profile))
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "path:", err)
 		os.Exit(1)
 	}
 }
 
+func writeProfile(file string) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return pprof.Lookup("allocs").WriteTo(f, 0)
+}
+
 func run(requests int, asJSON bool, check, write string) error {
 	all, err := measure(requests)
 	if err != nil {
--- /dev/null
+++ b/internal/framing/answer_test.go
@@ -0,0 +1,121 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// differ tells what ReadAnswer makes of a head that net/http's reader makes otherwise;
+// "": nothing, or a difference that is meant.
+func differ(text string) string {
+	a, err := ReadAnswer([]byte(text))
+	resp, theirs := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	switch {
+	case err != nil:
+		return "" // stricter by intent: see the package, and TestAnswersRefused
+	case theirs != nil:
+		return "net/http refuses it: " + theirs.Error()
+	case a.Status != resp.StatusCode || a.Minor != resp.ProtoMinor:
+		return "another status or version"
+	case a.Ends != resp.Close && a.Status >= 200:
+		return "another end of the connection"
+	}
+	mine := a.Header.Clone()
+	if v := mine["Pragma"]; len(v) > 0 && v[0] == "no-cache" && mine["Cache-Control"] == nil {
+		mine.Set("Cache-Control", "no-cache") // which net/http makes up
+	}
+	for _, name := range []string{"Content-Length", "Transfer-Encoding", "Trailer", "Connection"} { // which it takes for its own, the last at times
+		mine.Del(name)
+		resp.Header.Del(name)
+	}
+	if !reflect.DeepEqual(mine, resp.Header) {
+		return "other fields"
+	}
+	return ""
+}
+
+var answerSeeds = []string{
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nconnection: x, Close\r\n\r\n",
+	"HTTP/1.1  503 \r\nsrv-declined:1\r\nA: b\r\na:\t c \r\nA: \r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nPragma: no-cache\r\nContent-Length: 1\r\n\r\n",
+}
+
+func TestAnswersAsNetHTTPReadsThem(t *testing.T) {
+	for _, text := range answerSeeds {
+		if _, err := ReadAnswer([]byte(text)); err != nil {
+			t.Errorf("%q: %v", text, err)
+		}
+		if what := differ(text); what != "" {
+			t.Errorf("%q: %s", text, what)
+		}
+	}
+}
+
+func TestAnswersRefused(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 099 OK\r\n\r\n", "HTTP/1.1200 OK\r\n\r\n",
+		"HTTP/1.2 200 OK\r\n\r\n", "HTTP/2.0 200 OK\r\n\r\n", "ICY 200 OK\r\n\r\n", "HTTP/1.1\r\n\r\n", "\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		if a, err := ReadAnswer([]byte(text)); err == nil {
+			t.Errorf("%q: %+v", text, a)
+		}
+	}
+}
+
+// What is appended to one name's values does not meet those of the next.
+func TestFieldsDoNotMeet(t *testing.T) {
+	a, err := ReadAnswer([]byte("HTTP/1.1 200 OK\r\nA: 1\r\nB: 2\r\n\r\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Header.Add("A", "3")
+	if !reflect.DeepEqual(a.Header, http.Header{"A": {"1", "3"}, "B": {"2"}}) {
+		t.Errorf("%v", a.Header)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	for _, s := range answerSeeds {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if end := End(b); end == 0 || end != len(b) || bytes.Contains(b, []byte("\r\n\r\n\r\n")) {
+			return
+		}
+		if what := differ(string(b)); what != "" {
+			t.Errorf("%q: %s", b, what)
+		}
+	})
+}
+
+func BenchmarkReadAnswer(b *testing.B) {
+	text := []byte("HTTP/1.1 200 OK\r\nContent-Length: 300\r\nContent-Type: image/png\r\nEtag: \"7f3a\"\r\nCache-Control: max-age=60\r\nX-Map: 4\r\n\r\n")
+	b.Run("own", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := ReadAnswer(text); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("net/http, after Check", func(b *testing.B) {
+		b.ReportAllocs()
+		r := bufio.NewReader(nil)
+		for b.Loop() {
+			if _, err := Check(text); err != nil {
+				b.Fatal(err)
+			}
+			r.Reset(bytes.NewReader(text))
+			if _, err := http.ReadResponse(r, nil); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -24,7 +24,10 @@
 type Head struct {
 	Length  int64 // Content-Length; -1: there is none
 	Chunked bool
-	Close   bool // the connection ends with this message
+
+	// What Connection says: the connection ends with this message, or, where that is
+	// usual, does not.
+	Close, KeepAlive bool
 }
 
 var (
@@ -55,15 +58,15 @@
 func Check(head []byte) (Head, error) {
 	h := Head{Length: -1}
 	for n := 0; len(head) > 0; n++ {
-		line, rest, ok := bytes.Cut(head, []byte("\r\n"))
-		if !ok || bytes.ContainsAny(line, "\r\n\x00") {
+		line, rest, ok := bytes.Cut(head, crlf)
+		if !ok || !clean(line, n > 0) {
 			return h, errLine
 		}
 		head = rest
 		if n == 0 || len(line) == 0 {
 			continue
 		}
-		name, value, ok := bytes.Cut(line, []byte(":"))
+		name, value, ok := bytes.Cut(line, colon)
 		if !ok || !isToken(name) {
 			return h, errField
 		}
@@ -81,7 +84,8 @@
 			}
 			h.Chunked = true
 		case bytes.EqualFold(name, []byte("Connection")):
-			h.Close = h.Close || bytes.EqualFold(value, []byte("close"))
+			h.Close = h.Close || hasToken(value, "close")
+			h.KeepAlive = h.KeepAlive || hasToken(value, "keep-alive")
 		}
 	}
 	if h.Chunked && h.Length >= 0 {
@@ -90,14 +94,50 @@
 	return h, nil
 }
 
+var crlf, colon = []byte("\r\n"), []byte(":")
+
+// What a byte of a head may be in (RFC 9110 sections 5.5 and 5.6.2).
+const (
+	inToken uint8 = 1 << iota
+	inField
+	inStart // of what the start line holds only this is judged: no line ends, no 0
+)
+
+var kinds = func() (k [256]uint8) {
+	for c := range k {
+		if c != 0 && c != '\r' && c != '\n' {
+			k[c] |= inStart
+		}
+		if c >= ' ' && c != 0x7f || c == '\t' {
+			k[c] |= inField
+		}
+		if 'a' <= c|0x20 && c|0x20 <= 'z' || '0' <= c && c <= '9' || c > 0 && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), byte(c)) >= 0 {
+			k[c] |= inToken
+		}
+	}
+	return k
+}()
+
+// clean reports whether a line holds nothing that ends lines, and one of a field no other
+// control characters either.
+func clean(line []byte, field bool) bool {
+	want := inStart
+	if field {
+		want = inField
+	}
+	for _, c := range line {
+		if kinds[c]&want == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // isToken reports whether name may be a header's name: no space before the
 // colon, no folded line.
 func isToken(name []byte) bool {
 	for _, c := range name {
-		switch {
-		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
-		case bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0:
-		default:
+		if kinds[c]&inToken == 0 {
 			return false
 		}
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -359,36 +359,29 @@
 
 // readHead reads the head of the answer, past those of 1xx answers. begun is
 // called at its first byte.
-func (c *conn) readHead(headOnly bool, begun func()) (*http.Response, framing.Head, error) {
+func (c *conn) readHead(begun func()) (framing.Answer, error) {
 	if _, err := c.r.Peek(1); err != nil {
-		return nil, framing.Head{}, err
+		return framing.Answer{}, err
 	}
 	begun()
-	var of *http.Request
-	if headOnly {
-		of = &http.Request{Method: http.MethodHead}
-	}
 	for range maxInterim {
 		text, err := c.peekHead()
 		if err != nil {
-			return nil, framing.Head{}, err
-		}
-		h, err := framing.Check(text)
-		if err != nil {
-			return nil, h, err
+			return framing.Answer{}, err
 		}
-		resp, err := http.ReadResponse(c.r, of)
+		a, err := framing.ReadAnswer(text)
 		if err != nil {
-			return nil, h, err
+			return a, err
 		}
-		if resp.StatusCode >= 200 {
-			return resp, h, nil
+		c.r.Discard(len(text)) // they are there
+		if a.Status >= 200 {
+			return a, nil
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		if a.Status == http.StatusSwitchingProtocols {
 			break
 		}
 	}
-	return nil, framing.Head{}, errInterim
+	return framing.Answer{}, errInterim
 }
 
 // peekHead waits until a whole head stands in the reader's buffer. What can't
@@ -414,16 +407,14 @@
 // endTold reports whether an answer without a length says that its end is that
 // of the connection. Where it does not say so, one that was spoilt on its way
 // would look the same; and one that ends by a reset is not whole in any case.
-func endTold(resp *http.Response, head framing.Head) bool {
-	return resp.ProtoMinor == 0 || head.Close
-}
+func endTold(head *framing.Answer) bool { return head.Minor == 0 || head.Close }
 
 // readAnswer reads an answer: whole, or up to where its stream begins. It
 // reports whether the connection may be kept after it.
 func (c *conn) readAnswer(t *try) (a Answer, keep bool, err error) {
 	patience := &t.patience
 	*patience = answerWait{cancel: t.cancel}
-	resp, head, err := c.readHead(t.req.headOnly, patience.begin)
+	head, err := c.readHead(patience.begin)
 	defer func() {
 		switch inTime := patience.stop(); {
 		case inTime || err != nil:
@@ -437,26 +428,27 @@
 	if err != nil {
 		return a, false, err
 	}
-	a = Answer{Result: policy.Errored, Header: resp.Header, Length: head.Length}
-	switch resp.StatusCode {
+	a = Answer{Result: policy.Errored, Header: head.Header, Length: head.Length}
+	switch head.Status {
 	case http.StatusOK:
 		a.Result = policy.Served
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("Srv-Declined") == "1" {
+		if head.Header.Get("Srv-Declined") == "1" {
 			a.Result = policy.TurnedAway
 		}
 	}
 	if t.req.headOnly {
-		return a, !resp.Close, nil
+		return a, !head.Ends, nil
 	}
 	toEnd := head.Length < 0 && !head.Chunked // as long as the connection
 	switch {
 	case a.Result != policy.Served && (toEnd || head.Length > maxBody):
 		return a, false, nil // of an error the head has told all there is to know
-	case head.Length > MaxStream, toEnd && !endTold(resp, head):
+	case head.Length > MaxStream, toEnd && !endTold(&head):
 		return a, false, errBody
 	}
-	whole, err := c.readBody(&a, resp, patience)
+	body := bodyOf(c.r, &head)
+	whole, err := readBody(&a, body, patience)
 	switch {
 	case err != nil && a.Result != policy.Served:
 		return a, false, nil
@@ -465,17 +457,17 @@
 	case whole: // What stands behind an answer is nobody's: the caller finds it and
 		// gives the connection up. That the length told is too short, and this
 		// answer so not whole, would look the same; it has not been seen.
-		return a, !resp.Close, nil
+		return a, !head.Ends, nil
 	case a.Result != policy.Served:
 		return a, false, nil // an error that goes on
 	case t.stream == nil:
 		return a, false, errBody
 	}
-	return a, false, c.startStream(t.ctx, &a, resp)
+	return a, false, c.startStream(t.ctx, &a, body, !head.Ends)
 }
 
 // readBody reads a body whole, or of a long one what there is of its beginning.
-func (c *conn) readBody(a *Answer, resp *http.Response, p *answerWait) (whole bool, err error) {
+func readBody(a *Answer, body io.Reader, p *answerWait) (whole bool, err error) {
 	begun, limit := time.Now(), int64(maxBody)+1
 	size := min(int64(4<<10), limit)
 	if a.Length >= 0 {
@@ -493,7 +485,7 @@
 			a.Body = append(a.Body, 0)[:len(a.Body)]
 		}
 		room := min(cap(a.Body), int(limit))
-		n, err := resp.Body.Read(a.Body[len(a.Body):room])
+		n, err := body.Read(a.Body[len(a.Body):room])
 		if n > 0 {
 			p.moved()
 		}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -30,12 +29,12 @@
 }
 
 // startStream makes the rest of an answer a stream.
-func (c *conn) startStream(ctx context.Context, a *Answer, resp *http.Response) error {
+func (c *conn) startStream(ctx context.Context, a *Answer, body io.Reader, keep bool) error {
 	if !c.pool.long.TryAcquire(streamRoom) {
 		return errNoRoom
 	}
 	a.free = func() { c.pool.long.Release(streamRoom) }
-	a.Stream = &Stream{conn: c, ctx: ctx, body: resp.Body, done: make(chan struct{}), keep: !resp.Close}
+	a.Stream = &Stream{conn: c, ctx: ctx, body: body, done: make(chan struct{}), keep: keep}
 	return nil
 }
 
