upstream: an attempt ends by one small state, and no context

Ending holds the first cause, the one thing to do at it, and a channel only once somebody asks; dials and waits take it for a context.

--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"context"
 	"fmt"
 	"strconv"
 	"strings"
@@ -30,8 +29,7 @@
 	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nReq-Deadline: ", path, to.Addr)
 	go func() {
 		defer logPanic("probe")
-		ctx, cancel := context.WithCancelCause(context.Background())
-		a := s.pool.Do(ctx, cancel, to, &upstream.Request{Head: head}, probePatience, nil)
+		a := s.pool.Do(new(upstream.Ending), to, &upstream.Request{Head: head}, probePatience, nil)
 		defer a.Free()
 		r := policy.ProbeResult{Endpoint: id, Result: a.Result}
 		if a.Result == policy.Served {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -136,7 +136,7 @@
 	call     *call
 	n        int
 	endpoint policy.EndpointID
-	cancel   context.CancelCauseFunc
+	end      upstream.Ending
 	sent     bool // it was noted as sent
 }
 
@@ -194,7 +194,7 @@
 	case policy.Cancel:
 		if c := s.calls[a.Request]; c != nil && a.Attempt < len(c.attempts) {
 			c.tell("module", "calls off attempt %d", a.Attempt)
-			c.attempts[a.Attempt].cancel(upstream.ErrCalledOff)
+			c.attempts[a.Attempt].end.End(upstream.ErrCalledOff)
 		}
 	case policy.SetTimer:
 		t := time.AfterFunc(a.In, func() {
@@ -274,7 +274,7 @@
 	if c == nil {
 		return
 	}
-	a := &attempt{call: c, n: len(c.attempts), endpoint: to.Endpoint, cancel: func(error) {}}
+	a := &attempt{call: c, n: len(c.attempts), endpoint: to.Endpoint}
 	allowed := !c.req.Rest.Spent() && s.mayRepeat(c)
 	c.attempts = append(c.attempts, a)
 	if !allowed {
@@ -282,8 +282,6 @@
 		s.denied = append(s.denied, a)
 		return
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	a.cancel = cancel
 	c.unsure++
 	c.open++
 	var e upstream.Endpoint // no such endpoint: it can't be connected to
@@ -305,12 +303,12 @@
 		result := upstream.Answer{Result: policy.ConnectionLost}
 		defer func() { s.ended(c, a, result) }()
 		defer logPanic("attempt")
-		left, err := s.keepKey(ctx, note, to.Timeout)
+		left, err := s.keepKey(&a.end, note, to.Timeout)
 		if err != nil {
 			result = upstream.Answer{Result: policy.NotSent} // nobody would know of it after a kill
 			return
 		}
-		result = s.pool.Do(ctx, cancel, e, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
+		result = s.pool.Do(&a.end, e, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
 	}()
 }
 
@@ -350,7 +348,6 @@
 		told := s.blamed(result)
 		s.settle(c, a, told)
 		c.slow = result.Result == policy.NoAnswer
-		a.cancel(nil)
 		c.open--
 		s.forget(c)
 		return b.Outcome(now, s.outcome(a, told))
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -133,15 +133,15 @@
 }
 
 // Do makes an attempt on the endpoint and waits for its end: an answer that is
-// whole, a failure, the time-out, or the end of ctx, which is this attempt's alone: cancel
-// ends it, and Do does so itself in the end. A long answer is given to
+// whole, a failure, the time-out, or that end is ended. It is this attempt's alone, and ended in any
+// case once Do returns. A long answer is given to
 // stream as it begins, which returns whether it is wanted; Do then goes on until
 // that has been closed. Without stream long answers are failures.
-func (p *Pool) Do(ctx context.Context, cancel context.CancelCauseFunc, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) Answer {
-	t := &try{start: time.Now(), stream: stream, req: req, ctx: ctx, cancel: cancel}
-	defer cancel(nil)
+func (p *Pool) Do(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) Answer {
+	t := &try{start: time.Now(), stream: stream, req: req, end: end}
+	defer end.End(context.Canceled)
 	t.deadline = t.start.Add(timeout)
-	t.expiry = time.AfterFunc(timeout, func() { t.cancel(errTimedOut) })
+	t.expiry = time.AfterFunc(timeout, func() { t.end.End(errTimedOut) })
 	defer t.expiry.Stop()
 	a := p.attempt(t, e)
 	a.Dialled = t.dialled
@@ -155,8 +155,7 @@
 type try struct {
 	req      *Request
 	stream   func(Answer) bool
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
+	end      *Ending
 	start    time.Time
 	deadline time.Time
 	expiry   *time.Timer
@@ -183,13 +182,13 @@
 func (t *try) sentAll() {
 	t.uploaded.Store(int64(time.Since(t.start)))
 	if !t.expiry.Reset(t.req.Rest.Patience) {
-		t.cancel(errTimedOut) // the time was up as the last byte went out
+		t.end.End(errTimedOut) // the time was up as the last byte went out
 	}
 }
 
 func (p *Pool) attempt(t *try, e Endpoint) Answer {
 	for {
-		c, err := p.get(t.ctx, e)
+		c, err := p.get(t.end, e)
 		if err != nil {
 			if ownWant(err) {
 				return Answer{Result: policy.NotSent} // that is not the endpoint's doing
@@ -199,7 +198,7 @@
 		pooled := !c.rested.IsZero()
 		t.dialled = !pooled
 		a, unsent := p.exchange(t, c)
-		if !unsent || !pooled || t.ctx.Err() != nil || t.req.Rest.Spent() {
+		if !unsent || !pooled || t.end.Cause() != nil || t.req.Rest.Spent() {
 			return a
 		}
 		// A kept connection that breaks before the last byte is on it says
@@ -211,8 +210,7 @@
 // exchange writes the request on c and reads the answer. It reports whether
 // it failed before the request's last byte was written.
 func (p *Pool) exchange(t *try, c *conn) (a Answer, unsent bool) {
-	ctx := t.ctx
-	release := context.AfterFunc(ctx, func() {
+	t.end.At(func() {
 		c.SetDeadline(time.Unix(1, 0))
 		if t.req.Rest != nil {
 			t.req.Rest.Source.Interrupt()
@@ -221,7 +219,7 @@
 	w := startWrite(c, t)
 	a, keep, err := c.readAnswer(t)
 	if t.req.Rest != nil && (err != nil || a.Result != policy.Served) {
-		t.cancel(errStopped) // ends a write that waits for more of the body; the answer is known
+		t.end.End(errStopped) // ends a write that waits for more of the body; the answer is known
 	}
 	if err == nil && a.Result == policy.Served {
 		w.wait() // an endpoint begins when it has the last byte: else this answer is another's
@@ -234,7 +232,7 @@
 		a.Elapsed = t.elapsed()
 		keep, err = p.pass(t, &a)
 	}
-	keep = release() && keep && err == nil
+	keep = t.end.Release() && keep && err == nil
 	// A connection is kept only if nothing on it is unfinished and nothing
 	// came that nobody asked for.
 	if keep = keep && w.over() && w.sent && c.quiet(); !keep {
@@ -250,7 +248,7 @@
 		p.discard(c)
 	}
 	if err != nil {
-		return Answer{Result: failure(ctx, w.sent), Elapsed: a.Elapsed}, !w.sent
+		return Answer{Result: failure(t.end.Cause(), w.sent), Elapsed: a.Elapsed}, !w.sent
 	}
 	return a, false
 }
@@ -260,8 +258,8 @@
 	s := a.Stream
 	// Its client decides how long it waits for the rest. One whose time is up
 	// already, or that is called off, would be given a head and nothing more.
-	if !t.expiry.Stop() || t.ctx.Err() != nil {
-		t.cancel(errTimedOut) // of two causes the first counts
+	if !t.expiry.Stop() || t.end.Cause() != nil {
+		t.end.End(errTimedOut) // of two causes the first counts
 		a.Free()
 		return false, errTimedOut
 	}
@@ -272,7 +270,7 @@
 	a.free = nil // the receiver's
 	select {
 	case <-s.done:
-	case <-t.ctx.Done():
+	case <-t.end.Done():
 		<-s.done // Read fails now
 	}
 	a.Stream, a.Body = nil, nil
@@ -286,8 +284,8 @@
 }
 
 // failure tells what an attempt without an answer is by the protocol's table.
-func failure(ctx context.Context, sent bool) policy.Result {
-	switch cause := context.Cause(ctx); {
+func failure(cause error, sent bool) policy.Result {
+	switch {
 	case errors.Is(cause, errSource):
 		return policy.NotSent // that is not the endpoint's doing
 	case !sent:
@@ -298,7 +296,7 @@
 		return policy.ConnectionLost
 	case errors.Is(cause, errUnwanted):
 		return policy.CalledOff
-	case ctx.Err() != nil:
+	case cause != nil:
 		return policy.CalledOff
 	}
 	return policy.ConnectionLost
@@ -413,7 +411,7 @@
 // reports whether the connection may be kept after it.
 func (c *conn) readAnswer(t *try) (a Answer, keep bool, err error) {
 	patience := &t.patience
-	*patience = answerWait{cancel: t.cancel}
+	*patience = answerWait{end: t.end}
 	head, err := c.readHead(patience.begin)
 	defer func() {
 		switch inTime := patience.stop(); {
@@ -463,7 +461,7 @@
 	case t.stream == nil:
 		return a, false, errBody
 	}
-	return a, false, c.startStream(t.ctx, &a, body, !head.Ends)
+	return a, false, c.startStream(t.end, &a, body, !head.Ends)
 }
 
 // readBody reads a body whole, or of a long one what there is of its beginning.
@@ -506,19 +504,19 @@
 
 // answerWait ends an attempt whose answer has begun and stops.
 type answerWait struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	end   *Ending
+	timer *time.Timer
 }
 
 func (p *answerWait) begin() {
-	p.timer = time.AfterFunc(answerPatience, func() { p.cancel(errStopped) })
+	p.timer = time.AfterFunc(answerPatience, func() { p.end.End(errStopped) })
 }
 
 // moved notes that a piece has come. One that comes as the time ends does not
 // undo that: the timer's own call may still be on its way.
 func (p *answerWait) moved() {
 	if !p.timer.Reset(answerPatience) {
-		p.cancel(errStopped)
+		p.end.End(errStopped)
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/ending.go
@@ -0,0 +1,90 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Ending is how one attempt is told to end: once, by a cause; the first one counts. Its
+// zero value goes on. It is a context for what has to wait (a dial, a place), and made for
+// the usual attempt, for which nothing waits on it and that is never ended early: no
+// channel is made before one is asked for, and what is to be done at the end is one
+// function, that of the connection in use.
+type Ending struct {
+	mu    sync.Mutex
+	cause error
+	done  chan struct{} // nil: nobody asked for it
+	at    func()        // nil: there is nothing to do
+}
+
+// End ends it, unless that was done before. It does not wait for what is done at the end:
+// it may be called by who holds locks that this takes.
+func (e *Ending) End(cause error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cause != nil {
+		return
+	}
+	e.cause = cause
+	if e.done != nil {
+		close(e.done)
+	}
+	if e.at != nil {
+		go e.at() // sets deadlines, and returns
+		e.at = nil
+	}
+}
+
+// At sets what is done at the end, in place of what was set before. Where that has been,
+// it is done at once.
+func (e *Ending) At(do func()) {
+	e.mu.Lock()
+	ended := e.cause != nil
+	if !ended {
+		e.at = do
+	}
+	e.mu.Unlock()
+	if ended {
+		do()
+	}
+}
+
+// Release takes back what is to be done, and reports whether it was not begun.
+func (e *Ending) Release() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.at = nil
+	return e.cause == nil
+}
+
+// Cause is why it has ended; nil: it has not.
+func (e *Ending) Cause() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cause
+}
+
+// Done is closed at the end.
+func (e *Ending) Done() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.done == nil {
+		e.done = make(chan struct{})
+		if e.cause != nil {
+			close(e.done)
+		}
+	}
+	return e.done
+}
+
+// Err, Deadline and Value are those of a context without a deadline or values.
+func (e *Ending) Err() error {
+	if e.Cause() != nil {
+		return context.Canceled
+	}
+	return nil
+}
+
+func (e *Ending) Deadline() (time.Time, bool) { return time.Time{}, false }
+func (e *Ending) Value(any) any               { return nil }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -17,7 +16,7 @@
 // is slowed down by that, and so the endpoint is.
 type Stream struct {
 	conn *conn
-	ctx  context.Context
+	end  *Ending
 	body io.Reader
 	done chan struct{}
 	once sync.Once
@@ -29,12 +28,12 @@
 }
 
 // startStream makes the rest of an answer a stream.
-func (c *conn) startStream(ctx context.Context, a *Answer, body io.Reader, keep bool) error {
+func (c *conn) startStream(end *Ending, a *Answer, body io.Reader, keep bool) error {
 	if !c.pool.long.TryAcquire(streamRoom) {
 		return errNoRoom
 	}
 	a.free = func() { c.pool.long.Release(streamRoom) }
-	a.Stream = &Stream{conn: c, ctx: ctx, body: body, done: make(chan struct{}), keep: keep}
+	a.Stream = &Stream{conn: c, end: end, body: body, done: make(chan struct{}), keep: keep}
 	return nil
 }
 
@@ -45,9 +44,9 @@
 	switch { // either may have set another deadline just before
 	case s.aborted.Load():
 		return 0, errUnwanted
-	case s.ctx.Err() != nil:
+	case s.end.Cause() != nil:
 		s.failed = true
-		return 0, context.Cause(s.ctx)
+		return 0, s.end.Cause()
 	}
 	n, err := s.body.Read(b)
 	switch {
@@ -85,7 +84,7 @@
 			t.sentAll()
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			t.cancel(errStopped) // an endpoint that reads no more need not be waited for; one that closed has maybe answered
+			t.end.End(errStopped) // an endpoint that reads no more need not be waited for; one that closed has maybe answered
 		}
 	}()
 	return w
@@ -97,8 +96,8 @@
 	rest := t.req.Rest
 	put := func(parts net.Buffers) error {
 		c.SetWriteDeadline(time.Now().Add(c.pool.stall))
-		if t.ctx.Err() != nil {
-			return context.Cause(t.ctx)
+		if t.end.Cause() != nil {
+			return t.end.Cause()
 		}
 		_, err := parts.WriteTo(c.TCPConn)
 		return err
@@ -118,7 +117,7 @@
 		}
 	}
 	if rest.taken.Swap(true) {
-		t.cancel(errSource) // no fault of this endpoint's
+		t.end.End(errSource) // no fault of this endpoint's
 		return errSource
 	}
 	buf := make([]byte, streamRoom)
@@ -135,7 +134,7 @@
 		case err == io.EOF:
 			return nil
 		case err != nil:
-			t.cancel(errSource) // the request never comes whole: the endpoint need not wait
+			t.end.End(errSource) // the request never comes whole: the endpoint need not wait
 			return err
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -55,8 +55,9 @@
 // do makes an attempt and reads what is streamed of its answer into Body.
 func do(p *Pool, ctx context.Context, e Endpoint, r *Request, timeout time.Duration) Answer {
 	var text []byte
-	ctx, cancel := context.WithCancelCause(ctx)
-	a := p.Do(ctx, cancel, e, r, timeout, func(long Answer) bool {
+	end := new(Ending)
+	defer context.AfterFunc(ctx, func() { end.End(context.Cause(ctx)) })()
+	a := p.Do(end, e, r, timeout, func(long Answer) bool {
 		go func() {
 			rest, _ := io.ReadAll(long.Stream)
 			text = append(long.Body, rest...)
@@ -297,21 +298,21 @@
 		"called off":      {ErrCalledOff, policy.CalledOff},
 		"the timer's own": {nil, policy.NoAnswer}, // it has gone off, and its call has not been made
 	} {
-		tr := &try{stream: func(Answer) bool {
+		tr := &try{end: new(Ending), stream: func(Answer) bool {
 			t.Errorf("%s: it was passed on", name)
 			return false
 		}}
-		tr.ctx, tr.cancel = context.WithCancelCause(t.Context())
 		tr.expiry = time.NewTimer(long)
-		if tr.cancel(c.cause); c.cause == nil {
-			tr.ctx, tr.cancel = context.WithCancelCause(t.Context())
+		if c.cause == nil {
 			tr.expiry.Stop()
+		} else {
+			tr.end.End(c.cause)
 		}
 		freed := 0
 		if _, err := p.pass(tr, &Answer{Stream: &Stream{}, free: func() { freed++ }}); err == nil || freed != 1 {
 			t.Errorf("%s: error %v, freed %d times", name, err, freed)
 		}
-		if got := failure(tr.ctx, true); got != c.want {
+		if got := failure(tr.end.Cause(), true); got != c.want {
 			t.Errorf("%s: result %v, %v is expected", name, got, c.want)
 		}
 	}
