core: the module's timers stand on one wheel a service

Each request had a timer of the system's for the instant at which it counts as late, and nearly all were taken back: two allocations, a lock of the runtime's and a goroutine where one went off. wheel.Queue gives out numbers with the turn that they are in, so that taking back what is over meets nobody else; one alarm a service goes off for the earliest, and a panic in one timer's turn does not keep the others from theirs.

TestQueueAgainstPlain holds it against a map.

--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -17,6 +17,7 @@
 	"spokegw/internal/learnt"
 	"spokegw/internal/moves"
 	"spokegw/internal/upstream"
+	"spokegw/internal/wheel"
 	"spokegw/policy"
 )
 
@@ -45,6 +46,7 @@
 	endpoints *endpoints
 	calls     map[policy.RequestID]*call
 	lastID    policy.RequestID
+	timers    timers
 	keys      *keyed.Table
 	onKeyed   func(keyed.Note)                        // nil: nobody is told
 	durable   func(context.Context, keyed.Note) error // nil: nothing waits for a disk
@@ -93,7 +95,7 @@
 		rooms: c.Rooms, subscribe: func() {},
 		unixStart: time.Duration(now.UnixNano()), start: now,
 		balancer: b, endpoints: newEndpoints(log, c.Kinds, c.Zones),
-		calls: map[policy.RequestID]*call{}, keys: keyed.New(),
+		calls: map[policy.RequestID]*call{}, keys: keyed.New(), timers: timers{queue: wheel.NewQueue[policy.Token](timerTick)},
 	}, nil
 }
 
@@ -126,9 +128,8 @@
 	unsure     int        // attempts that are out, or have ended and may have run
 
 	// timers are those that the module has set for the request; with it they are
-	// of no more use, and each would cost a goroutine and a turn of the module. What
-	// there is no place for runs out by itself.
-	timers [4]*time.Timer
+	// of no more use. What there is no place for runs out by itself.
+	timers [4]wheel.ID
 	set    int // of timers, how many there are
 }
 
@@ -197,16 +198,7 @@
 			c.attempts[a.Attempt].end.End(upstream.ErrCalledOff)
 		}
 	case policy.SetTimer:
-		t := time.AfterFunc(a.In, func() {
-			if own := s.own(); own > time.Millisecond { // what is late by this sidecar's doing is not late yet
-				time.Sleep(min(ownWaits*own, longestPutOff))
-			}
-			s.event(func(b *policy.Balancer, now time.Duration) []policy.Action { return b.Timer(now, a.Token) })
-		})
-		if c := s.calls[a.Token.Request]; c != nil && c.set < len(c.timers) {
-			c.timers[c.set] = t
-			c.set++
-		}
+		s.setTimer(s.calls[a.Token.Request], a)
 	case policy.Probe:
 		s.probe(a.Endpoint)
 	case policy.Subscribe:
@@ -263,7 +255,7 @@
 	if c.over && c.open == 0 {
 		delete(s.calls, c.id)
 		for _, t := range c.timers[:c.set] {
-			t.Stop()
+			s.timers.queue.Cancel(t)
 		}
 		c.free()
 	}
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -65,7 +65,7 @@
 
 // Clear takes the timer of an ID back, if it is set.
 func (w *Wheel) Clear(id uint32) {
-	if int(id) >= len(w.nodes) || w.nodes[id].prev == 0 {
+	if !w.isSet(id) {
 		return
 	}
 	n := &w.nodes[id]
@@ -84,6 +84,8 @@
 	w.set--
 }
 
+func (w *Wheel) isSet(id uint32) bool { return int(id) < len(w.nodes) && w.nodes[id].prev != 0 }
+
 // insert puts a timer that is in no list into that of its slot.
 func (w *Wheel) insert(id uint32) {
 	n := &w.nodes[id]
