http1: plain requests are read and answered without net/http's server

framing.ReadRequest reads a plain head in one walk: HTTP/1.1, a path in plain characters, one host, a length or no body. A connection's reader goes on reading while its request is served by a goroutine of the request's own: so a client that leaves, or sends too soon, shows there. Heads are read into buffers that a connection has only while something is there. The answer goes out in one write, with the date that net/http also gave it.

The peek for what stands behind a request is left out where the last read did not fill its buffer: there was nothing then, and what comes later the reader finds. Taking each away makes a test fail: buffers given back early (a race, and other requests' bytes), what follows, clients that leave, connections handed over.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -100,7 +100,9 @@
 const (
 	inToken uint8 = 1 << iota
 	inField
-	inStart // of what the start line holds only this is judged: no line ends, no 0
+	inStart  // of what the start line holds only this is judged: no line ends, no 0
+	inTarget // of a plain request's
+	inHost   // of a plain request's: a name or an address, and a port
 )
 
 var kinds = func() (k [256]uint8) {
@@ -114,6 +116,13 @@
 		if 'a' <= c|0x20 && c|0x20 <= 'z' || '0' <= c && c <= '9' || c > 0 && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), byte(c)) >= 0 {
 			k[c] |= inToken
 		}
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z' || '0' <= c && c <= '9'
+		if letter || c < 0x7f && bytes.IndexByte([]byte("-._~!$&'()*+,;=:@/?%"), byte(c)) >= 0 {
+			k[c] |= inTarget
+		}
+		if letter || c == '-' || c == '.' || c == ':' {
+			k[c] |= inHost
+		}
 	}
 	return k
 }()
--- /dev/null
+++ b/internal/framing/request_test.go
@@ -0,0 +1,111 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+var requestSeeds = []string{
+	"GET /tile/1?user=k HTTP/1.1\r\nHost: b\r\nReq-Id: 1\r\n\r\n",
+	"POST /report HTTP/1.1\r\nhost: b.example:80\r\nContent-Length: 12\r\nreq-id: 1\r\nReq-Id:  2\t\r\nX-A:\r\n\r\n",
+	"GET /a%20b/%C4%8D/c.d~e?user=%2F..%2F&x=//;y HTTP/1.1\r\nHost: b\r\nConnection: close, x\r\n\r\n",
+	"GET /tile HTTP/1.1\r\nHost: b\r\nConnection: keep-alive\r\nCookie: a=\xff\r\n\r\n",
+}
+
+// differs tells where what is plain here is something else to net/http; "": nowhere, or
+// it is not plain.
+func differs(text string) string {
+	own, ok := ReadRequest([]byte(text))
+	if !ok {
+		return ""
+	}
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		return "net/http has " + err.Error()
+	}
+	length := max(own.Length, 0)
+	theirs := Request{own.Head, r.Method, r.RequestURI, r.Host, r.Header}
+	switch {
+	case !reflect.DeepEqual(own, theirs):
+		return fmt.Sprintf("%+v, net/http has %+v", own, theirs)
+	case r.ContentLength != length || len(r.TransferEncoding) > 0:
+		return fmt.Sprintf("a length of %d, net/http has %d", length, r.ContentLength)
+	case r.Close != own.Close:
+		return fmt.Sprintf("ends its connection: %v, net/http has %v", own.Close, r.Close)
+	}
+	return ""
+}
+
+func TestRequests(t *testing.T) {
+	for _, text := range requestSeeds {
+		if _, ok := ReadRequest([]byte(text)); !ok {
+			t.Errorf("%q is not plain", text)
+		}
+		if what := differs(text); what != "" {
+			t.Errorf("%q: %s", text, what)
+		}
+	}
+}
+
+// What a reader could take in two ways, or acts on, is not plain.
+func TestRequestsNotPlain(t *testing.T) {
+	for _, text := range []string{
+		"GET /a HTTP/1.0\r\nHost: b\r\n\r\n", "GET /a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\r\nHost: b\r\nHost: b\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: b c\r\n\r\n", "GET /a HTTP/1.1\r\nHost:\r\n\r\n", "GET /a HTTP/1.1\r\nHost: u@b\r\n\r\n",
+		"GET  /a HTTP/1.1\r\nHost: b\r\n\r\n", "GET /a b HTTP/1.1\r\nHost: b\r\n\r\n", "GET /a  HTTP/1.1\r\nHost: b\r\n\r\n",
+		"get /a HTTP/1.1\r\nHost: b\r\n\r\n", "GET http://b/a HTTP/1.1\r\nHost: b\r\n\r\n", "GET //a HTTP/1.1\r\nHost: b\r\n\r\n",
+		"GET /%zz HTTP/1.1\r\nHost: b\r\n\r\n", "GET /% HTTP/1.1\r\nHost: b\r\n\r\n", "GET /a#b HTTP/1.1\r\nHost: b\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: b\r\n\r\n", "HEAD /a HTTP/1.1\r\nHost: b\r\n\r\n", "/a HTTP/1.1\r\nHost: b\r\n\r\n", "\r\n",
+		"POST /a HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n", "POST /a HTTP/1.1\r\nHost: b\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: b\r\nUpgrade: h2c\r\n\r\n", "GET /a HTTP/1.1\r\nHost: b\r\nPragma: no-cache\r\n\r\n", "GET /a HTTP/1.1\r\nHost: b\r\nTrailer: x\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", "GET /a HTTP/1.1\nHost: b\n\n", "GET /a HTTP/1.1\r\nHost: b\r\n c: d\r\n\r\n",
+	} {
+		if r, ok := ReadRequest([]byte(text)); ok {
+			t.Errorf("%q: %+v", text, r)
+		}
+	}
+}
+
+func FuzzRequest(f *testing.F) {
+	for _, s := range requestSeeds {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if end := End(b); end == 0 || end != len(b) {
+			return
+		}
+		if what := differs(string(b)); what != "" {
+			t.Errorf("%q: %s", b, what)
+		}
+	})
+}
+
+func BenchmarkReadRequest(b *testing.B) {
+	text := []byte("GET /map-tile/3/7?user=k HTTP/1.1\r\nHost: sidecar\r\nReq-Id: 123456\r\nReq-Kind: map-tile\r\nReq-Owner: patrols\r\nReq-Deadline: 7000m\r\n\r\n")
+	b.Run("own", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, ok := ReadRequest(text); !ok {
+				b.Fatal("not plain")
+			}
+		}
+	})
+	b.Run("net/http, after Check", func(b *testing.B) {
+		b.ReportAllocs()
+		r := bufio.NewReader(nil)
+		for b.Loop() {
+			if _, err := Check(text); err != nil {
+				b.Fatal(err)
+			}
+			r.Reset(bytes.NewReader(text))
+			if _, err := http.ReadRequest(r); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -63,15 +63,19 @@
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	rc := http.NewResponseController(w)
-	buf := pieces.Get().(*[32 << 10]byte)
-	defer pieces.Put(buf)
-	put := func(b []byte) error {
+	return Pass(head, s, func(b []byte) error {
 		rc.SetWriteDeadline(time.Now().Add(WritePatience))
 		if _, err := w.Write(b); err != nil {
 			return err
 		}
 		return rc.Flush()
-	}
+	})
+}
+
+// Pass puts the beginning of a long answer and then the rest as it comes.
+func Pass(head []byte, s core.Stream, put func(piece []byte) error) error {
+	buf := pieces.Get().(*[32 << 10]byte)
+	defer pieces.Put(buf)
 	if err := put(head); err != nil {
 		return err
 	}
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -43,7 +43,7 @@
 	case length < 0:
 		return readUntold(body, hold)
 	case length > maxHeld || !hold(length):
-		if !hold(streamRoom) {
+		if length <= streamRoom || !hold(streamRoom) {
 			return nil, false, errNoMemory
 		}
 		return nil, true, nil
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -26,10 +26,12 @@
 	table *connTable
 
 	// Of Read alone; the server makes one call at a time.
-	head    []byte // of a head that has not come whole
-	ready   []byte // read, and still to be handed out
-	left    int64  // of the body after ready
-	through bool   // what follows is passed as it comes: chunked, or malformed
+	head    []byte                 // of a head that has not come whole
+	pooled  *[framing.MaxHead]byte // that head stands in; nil: in a slice of its own
+	handed  bool                   // head came along from the reader of plain requests
+	ready   []byte                 // read, and still to be handed out
+	left    int64                  // of the body after ready
+	through bool                   // what follows is passed as it comes: chunked, or malformed
 
 	serving atomic.Bool // a request was handed out and its answer has not begun
 	extra   atomic.Bool // something came behind that request
@@ -41,8 +43,9 @@
 	resting atomic.Bool  // it has had an answer and nothing came since
 	busy    bool         // a request has been taken and is not answered in full
 
-	mu     sync.Mutex // of ending, and of what it goes by: heard and resting
+	mu     sync.Mutex // of ending, and of what it goes by: heard, resting and spoken
 	ending bool       // a read that waits is called off: the connection is to end
+	spoken bool       // something came since the latest answer began
 
 	answered bool // its first request has been
 	evicted  bool
@@ -88,6 +91,7 @@
 func (c *clientConn) came() {
 	now := int64(front.Now())
 	c.mu.Lock()
+	c.spoken = true
 	if c.ending {
 		c.ending = false
 		c.setDue(c.due.Load())
@@ -118,6 +122,23 @@
 	}
 }
 
+// callOff ends a read that waits.
+func (c *clientConn) callOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.TCPConn.SetReadDeadline(longAgo)
+}
+
+// dropHead gives back the buffer that the head stands in.
+func (c *clientConn) dropHead() {
+	if c.pooled != nil {
+		headBuffers.Put(c.pooled)
+		c.pooled = nil
+	}
+	c.head = nil
+}
+
 // longAgo calls a read off.
 var longAgo = front.At(-time.Hour)
 
@@ -181,10 +202,10 @@
 func (c *clientConn) readHead() error {
 	var err error
 	end := 0
-	if c.table.pipelining {
+	if c.table.pipelining || c.handed {
 		end = framing.End(c.head) // it may have come with the one before
 	}
-	if end == 0 {
+	if end == 0 && len(c.head) < framing.MaxHead {
 		var buf [2 << 10]byte
 		var n int
 		if n, err = c.receive(buf[:]); n == 0 {
@@ -197,11 +218,12 @@
 	if end == 0 && len(c.head) < framing.MaxHead {
 		return err
 	}
-	if c.table.door != nil && err == nil {
+	if c.table.door != nil && err == nil && !c.handed {
 		if refused, err := c.turnAway(end); refused {
 			return err
 		}
 	}
+	c.handed = false
 	var h framing.Head
 	var wrong error
 	if end == 0 {
@@ -480,11 +502,7 @@
 	defer t.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		if _, ok := t.conns[c]; ok && !c.answered {
-			t.kept++
-			c.answered = true
-		}
-		c.busy = false
+		t.hasAnswer(c)
 		c.resting.Store(len(c.head) == 0 && len(c.ready) == 0 && !c.serving.Load()) // the server reads nothing now
 	case http.StateClosed, http.StateHijacked:
 		t.remove(c)
@@ -494,6 +512,21 @@
 	}
 }
 
+// answered notes that a connection has had the answer to its request.
+func (t *connTable) answered(c *clientConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hasAnswer(c)
+}
+
+func (t *connTable) hasAnswer(c *clientConn) {
+	if _, ok := t.conns[c]; ok && !c.answered {
+		t.kept++
+		c.answered = true
+	}
+	c.busy = false
+}
+
 // count counts the connections: all, those with a request taken, and of those
 // the ones on which something moved since.
 func (t *connTable) count(since time.Duration) (all, busy, moving int) {
@@ -568,7 +601,7 @@
 // of descriptors that passes.
 const acceptPause = 5 * time.Millisecond
 
-func (l *listener) Accept() (net.Conn, error) {
+func (l *listener) accept() (*clientConn, error) {
 	for {
 		if paused := l.isPaused(); paused != nil {
 			<-paused
--- a/internal/front/http1/door.go
+++ b/internal/front/http1/door.go
@@ -43,7 +43,7 @@
 		return false, nil
 	}
 	last := c.answering()
-	c.head = nil
+	c.dropHead()
 	if err := c.SetWriteDeadline(time.Now().Add(writePatience)); err != nil {
 		return true, err
 	}
@@ -103,11 +103,6 @@
 
 // rests notes that a connection has had an answer that the server knows nothing of.
 func (t *connTable) rests(c *clientConn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, ok := t.conns[c]; ok && !c.answered {
-		t.kept++
-		c.answered = true
-	}
+	t.answered(c)
 	c.resting.Store(true)
 }
--- /dev/null
+++ b/internal/front/http1/plain_test.go
@@ -0,0 +1,150 @@
+package http1
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A request may come in pieces, split anywhere, and is served all the same.
+func TestSplitAnywhere(t *testing.T) {
+	s := start(t, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	c := dial(t, s)
+	for i := 1; ; i++ {
+		id := fmt.Sprint("split-", i)
+		text := report(id, "12345")
+		if i >= len(text) {
+			break
+		}
+		for _, piece := range []string{text[:i], text[i:]} {
+			if _, err := io.WriteString(c, piece); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if status, body := read(t, c); status != 200 || body != id {
+			t.Fatalf("split at %d: %d %q", i, status, body)
+		}
+	}
+	if err := inPieces(c, []byte(report("bytes", "12345"))); err != nil {
+		t.Fatal(err)
+	}
+	if status, body := read(t, c); status != 200 || body != "bytes" {
+		t.Errorf("in pieces: %d %q", status, body)
+	}
+}
+
+// A client that leaves while its request is out has it called off.
+func TestClientLeaves(t *testing.T) {
+	begun, ended := make(chan bool), make(chan bool)
+	s := start(t, nil, listenEndpoint(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			begun <- true
+			io.Copy(io.Discard, r)
+			ended <- true
+		}
+	}))
+	c := dial(t, s)
+	io.WriteString(c, tile("leaves"))
+	<-begun
+	left := time.Now()
+	c.Close()
+	<-ended
+	if took := time.Since(left); took > requestPatience { // its deadline would do it after 7 s
+		t.Errorf("called off after %v", took)
+	}
+}
+
+// What follows a request that is being served ends the connection with its answer, and
+// goes nowhere.
+func TestFollowsTooSoon(t *testing.T) {
+	begun, release := make(chan string, 4), make(chan bool)
+	s := start(t, nil, listenEndpoint(t, echo(func(r *http.Request) {
+		begun <- r.Header.Get("Req-Id")
+		<-release
+	})))
+	c := dial(t, s)
+	io.WriteString(c, tile("first"))
+	<-begun
+	io.WriteString(c, tile("hidden"))
+	conn := held(s)
+	for !conn.extra.Load() {
+		conn.readable()
+	}
+	close(release)
+	r := bufio.NewReader(c)
+	a, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(r); a.StatusCode != 200 || !a.Close || err != nil || string(text) != "first" {
+		t.Errorf("%d, closes: %v, and then %q %v", a.StatusCode, a.Close, text, err)
+	}
+	if len(begun) > 0 {
+		t.Errorf("%q was sent on", <-begun)
+	}
+}
+
+// held is the one connection that a server holds.
+func held(s *Server) *clientConn {
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	for c := range s.conns.conns {
+		return c
+	}
+	return nil
+}
+
+// A connection goes on when a request on it is not plain, and afterwards.
+func TestHandedOver(t *testing.T) {
+	s := start(t, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	c := dial(t, s)
+	chunks := strings.Replace(report("two", ""), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "1\r\nx\r\n0\r\n\r\n"
+	ready := "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
+	for _, of := range []struct{ text, want string }{{tile("one"), "one"}, {ready, ""}, {tile("three"), "three"}, {report("four", "1"), "four"}, {chunks, "two"}} {
+		io.WriteString(c, of.text)
+		if status, body := read(t, c); status != 200 || body != of.want {
+			t.Errorf("%q is answered %d %q", of.text, status, body)
+		}
+	}
+}
+
+// What a request is made of is not another's: heads are read into buffers that the next
+// connection has as soon as a request has been taken.
+func TestBuffersAreOnesOwn(t *testing.T) {
+	s := start(t, nil, listenEndpoint(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			text := r.Header.Get("Req-Id") + string(body) + r.Header.Get("X-Own")
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Own: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Own"), len(text), text)
+		}
+	}))
+	var all sync.WaitGroup
+	for n := range 8 {
+		c := dial(t, s)
+		all.Go(func() {
+			for i := range 100 {
+				id := fmt.Sprintf("%d-%d", n, i)
+				own := strings.Repeat(fmt.Sprint(n), 50+i)
+				io.WriteString(c, strings.Replace(report(id, own), "Host", "X-Own: "+own+"\r\nHost", 1))
+				if status, body := read(t, c); status != 200 || body != id+own+own {
+					t.Errorf("request %s is answered %d %q", id, status, body)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -55,7 +55,8 @@
 	core     *core.Core
 	handler  *handler
 	listener *listener
-	server   *http.Server
+	server   *http.Server // of what is not plain
+	rest     *rest        // hands it connections
 	conns    *connTable
 }
 
@@ -84,6 +85,7 @@
 		}
 	}
 	s.listener = &listener{TCPListener: l, table: s.conns}
+	s.rest = newRest(l.Addr())
 	return s, nil
 }
 
@@ -154,9 +156,15 @@
 // Serve takes requests until ctx ends, then finishes what it has taken.
 func (s *Server) Serve(ctx context.Context) error {
 	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(s.listener) }()
+	go func() { served <- s.server.Serve(s.rest) }()
+	defer func() {
+		s.rest.Close()
+		<-served
+	}()
+	accepting := make(chan error, 1)
+	go func() { accepting <- s.accept() }()
 	select {
-	case err := <-served:
+	case err := <-accepting:
 		return fmt.Errorf("http1: %w", err)
 	case <-ctx.Done():
 	}
@@ -164,6 +172,17 @@
 	return nil
 }
 
+// accept serves connections until the listener is closed.
+func (s *Server) accept() error {
+	for {
+		c, err := s.listener.accept()
+		if err != nil {
+			return err
+		}
+		go s.serve(c)
+	}
+}
+
 // Sweep closes, in a crowd, the connections that have rested for as long as
 // they may. It is to be called now and then.
 func (s *Server) Sweep() {
--- a/internal/front/upload.go
+++ b/internal/front/upload.go
@@ -30,13 +30,18 @@
 // Paced is a body that has to keep coming.
 type Paced struct {
 	body  io.Reader
-	rc    *http.ResponseController
+	rc    Reading
 	begun time.Duration // as Now, when the request's first byte came
 	got   int64
 }
 
+// Reading is where reading can be made to end at a time.
+type Reading interface {
+	SetReadDeadline(t time.Time) error
+}
+
 // Pace has a body keep coming. It sets the times at which reading ends.
-func Pace(body io.Reader, rc *http.ResponseController, begun time.Duration) *Paced {
+func Pace(body io.Reader, rc Reading, begun time.Duration) *Paced {
 	rc.SetReadDeadline(At(begun + RequestPatience))
 	return &Paced{body: body, rc: rc, begun: begun}
 }
