core: a request's first attempt is made on its own goroutine

Each ordinary request started two goroutines: its own, which only waited for the answer, and its attempt's, which handed it over. Now an attempt that the module asks for while an event of the request's own goroutine is carried out is made by that goroutine; what timers ask for has one of its own as before. Only where attempts can be called off, as an answer may come of another attempt first: its event calls this one off, so the answer waits for nothing. A long answer is passed on by the request's goroutine, so the attempt's end is seen to by another one (upstream.Begin returns what waits for it).

A client that leaves is told by Exchange.Leave, in place of a context for each request, and the guard against a module that says nothing stands on the service's wheel, before what is due of the module.

Found by the tests on the way: the wait for a long answer read a result that had been overwritten (TestLongAnswers, TestMoves).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -147,6 +146,10 @@
 	held    int64   // bytes of the service's room for bodies
 	source  Source  // of the rest of the body; nil: it has come whole
 	trace   *Trace  // nil: nobody looks on
+
+	// Guarded by the service's mutex.
+	call *call // nil: the module has not been told of it
+	left bool  // its client has left
 }
 
 // Open takes the head of a request, before its body. It returns either an
@@ -232,9 +235,8 @@
 }
 
 // Do has the request, which has come whole just now, answered. It returns
-// ErrGone, and no answer, if ctx ends before there is one.
+// ErrGone, and no answer, if ctx ends, or Leave is called, before there is one.
 func (x *Exchange) Do(ctx context.Context, body []byte) (Answer, error) {
-	arrived := time.Now()
 	id := x.head.Header.Get("Req-Id")
 	if !x.core.ids.take(id) {
 		a := malformed(http.StatusConflict, "Req-Id is in use or was of late")
@@ -248,39 +250,26 @@
 	x.request.Left -= answerMargin
 	patience := x.request.Left
 	x.request.Left += x.request.Upload
-	overdue := time.NewTimer(x.request.Left + answerOverdue - time.Since(arrived))
-	defer overdue.Stop()
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, x.Leave)
+		defer stop()
+	}
 	c := x.service.request(x, x.upstream(body, patience))
 	defer x.service.leave(x.head.Front)
-	select {
-	case a := <-c.answer:
-		a.count = x.place.count
-		x.trace.endWith(&a)
-		return a, nil
-	case <-ctx.Done():
-		x.abandon(c)
+	a := <-c.answer
+	if a.Status == 0 {
 		x.trace.endWith(nil)
 		x.place.count.End(figures.Abandoned)
 		return Answer{}, ErrGone
-	case <-overdue.C:
-		slog.Error("the module gave no answer", "request", id)
-		x.abandon(c)
-		a := malformed(http.StatusGatewayTimeout, "no answer")
-		a.count = x.place.count
-		x.trace.endWith(a)
-		return *a, nil
 	}
+	a.count = x.place.count
+	x.trace.endWith(&a)
+	return a, nil
 }
 
-// abandon ends a call whose front stops waiting for it.
-func (x *Exchange) abandon(c *call) {
-	x.service.gone(c)
-	select {
-	case a := <-c.answer: // it came at the same moment
-		a.Free()
-	default:
-	}
-}
+// Leave tells that the client has left. It may be called at any time, and by anybody; what
+// has been answered by then is not changed by it.
+func (x *Exchange) Leave() { x.leave(x.service) }
 
 // upstream is the request as it goes on: target and method unchanged, the
 // length of the body that was read.
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -110,11 +110,14 @@
 // and no attempt is out.
 type call struct {
 	id       policy.RequestID
+	exchange *Exchange
 	class    int
 	ticket   *ticket // nil: no contracts were in force
 	req      *upstream.Request
-	answer   chan Answer // takes the one final answer
+	answer   chan Answer // takes the one final answer, or word that the client has left
 	over     bool        // answered, or the client left
+	here     bool        // an event of the request's own goroutine is carried out, which makes
+	next     *attempt    // this attempt then
 	attempts []*attempt
 	open     int    // attempts that are out
 	free     func() // gives back what the body holds
@@ -129,7 +132,7 @@
 
 	// timers are those that the module has set for the request; with it they are
 	// of no more use. What there is no place for runs out by itself.
-	timers [4]wheel.ID
+	timers [5]wheel.ID
 	set    int // of timers, how many there are
 }
 
@@ -139,6 +142,9 @@
 	endpoint policy.EndpointID
 	end      upstream.Ending
 	sent     bool // it was noted as sent
+	to       upstream.Endpoint
+	note     *keyed.Note
+	timeout  time.Duration
 }
 
 // now is the module's clock: Unix time at the start and what has passed since.
@@ -208,11 +214,28 @@
 	}
 }
 
-// request tells the module of a request. The caller waits on the answer.
+// eventOf is event for one of a request's own goroutine. It returns the attempt that is to
+// be made by that, before anything is waited for: one goroutine fewer for most requests.
+// nil: none is. Where attempts can't be called off it never is: the request's answer may
+// come of another one first, and is not to wait for this.
+func (s *Service) eventOf(c *call, tell func(b *policy.Balancer, now time.Duration) []policy.Action) *attempt {
+	defer logPanic("event")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.here = s.settled.policy.Cancel && c.req.Rest == nil
+	defer func() { c.here = false }()
+	s.tell(tell)
+	next := c.next
+	c.next = nil
+	return next
+}
+
+// request tells the module of a request, and makes the attempts that are the caller's to
+// make. The caller then waits on the answer.
 func (s *Service) request(x *Exchange, req *upstream.Request) *call {
 	q := x.request
-	c := &call{class: q.Class, ticket: x.ticket, req: req, answer: make(chan Answer, 1), free: x.release, keyed: x.keyed, key: x.key, trace: x.trace}
-	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
+	c := &call{exchange: x, class: q.Class, ticket: x.ticket, req: req, answer: make(chan Answer, 1), free: x.release, keyed: x.keyed, key: x.key, trace: x.trace}
+	next := s.eventOf(c, func(b *policy.Balancer, now time.Duration) []policy.Action {
 		if s.lastID++; s.lastID == 0 { // no request's: timers that are of none have it
 			s.lastID++
 		}
@@ -222,24 +245,36 @@
 		if c.trace != nil {
 			c.trace.step("taken", "%v left, pools %b, owed by contract: %v, pinned: %v", q.Left.Round(time.Millisecond), c.mask, q.Owed, q.Only != nil)
 		}
+		if x.call = c; x.left {
+			return s.left(c)
+		}
+		s.guard(c, q.Left+answerOverdue)
 		return b.Request(now, q)
 	})
+	for next != nil {
+		next = s.make(next, true)
+	}
 	return c
 }
 
-// gone tells the module that the client left.
-func (s *Service) gone(c *call) {
+// leave ends a request whose client has left, now or before the module is told of it.
+func (x *Exchange) leave(s *Service) {
 	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
-		if c.over {
+		if x.left = true; x.call == nil || x.call.over {
 			return nil
 		}
-		s.unsent(c)
-		c.over = true
-		s.forget(c)
-		return b.Gone(now, c.id)
+		s.left(x.call)
+		return b.Gone(now, x.call.id)
 	})
 }
 
+// left has a call over without an answer. It returns no actions.
+func (s *Service) left(c *call) []policy.Action {
+	s.unsent(c)
+	s.conclude(c, Answer{})
+	return nil
+}
+
 // conclude gives the final answer, once.
 func (s *Service) conclude(c *call, a Answer) {
 	if c == nil || c.over {
@@ -290,18 +325,42 @@
 			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
 		}
 	}
-	go func() {
-		// Should the attempt panic, the request still needs an end.
-		result := upstream.Answer{Result: policy.ConnectionLost}
-		defer func() { s.ended(c, a, result) }()
-		defer logPanic("attempt")
-		left, err := s.keepKey(&a.end, note, to.Timeout)
-		if err != nil {
-			result = upstream.Answer{Result: policy.NotSent} // nobody would know of it after a kill
+	a.to, a.note, a.timeout = e, note, to.Timeout
+	if c.here && c.next == nil {
+		c.next = a
+		return
+	}
+	go s.make(a, false)
+}
+
+// make makes an attempt. own tells that it is made by its request's own goroutine; next is
+// then the attempt that is to be made by that after it, nil where there is none.
+func (s *Service) make(a *attempt, own bool) (next *attempt) {
+	// Should the attempt panic, the request still needs an end.
+	c, result := a.call, upstream.Answer{Result: policy.ConnectionLost}
+	var more func() upstream.Answer
+	defer func() {
+		if more == nil {
+			next = s.ended(c, a, result, own)
 			return
 		}
-		result = s.pool.Do(&a.end, e, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
+		// The answer has begun, and is passed on by the request's own goroutine: another
+		// one sees to its end.
+		go func() {
+			result := upstream.Answer{Result: policy.ConnectionLost}
+			defer func() { s.ended(c, a, result, false) }()
+			defer logPanic("attempt")
+			result = more()
+		}()
 	}()
+	defer logPanic("attempt")
+	left, err := s.keepKey(&a.end, a.note, a.timeout)
+	if err != nil {
+		result = upstream.Answer{Result: policy.NotSent} // nobody would know of it after a kill
+		return nil
+	}
+	result, more = s.pool.Begin(&a.end, a.to, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
+	return nil
 }
 
 // begun gives out an answer that goes on for long. It reports whether it is
@@ -318,9 +377,10 @@
 	return wanted
 }
 
-// ended takes the end of an attempt.
-func (s *Service) ended(c *call, a *attempt, result upstream.Answer) {
-	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
+// ended takes the end of an attempt, and returns the one that is its goroutine's to make
+// next.
+func (s *Service) ended(c *call, a *attempt, result upstream.Answer, own bool) (next *attempt) {
+	tell := func(b *policy.Balancer, now time.Duration) []policy.Action {
 		if result.Result == policy.Served && !c.over {
 			c.over = true
 			c.answer <- Answer{Status: http.StatusOK, Header: result.Header, Body: result.Body, Length: result.Length, free: result.Free}
@@ -343,7 +403,12 @@
 		c.open--
 		s.forget(c)
 		return b.Outcome(now, s.outcome(a, told))
-	})
+	}
+	if own {
+		return s.eventOf(c, tell)
+	}
+	s.event(tell)
+	return nil
 }
 
 // outcome is what the module is told of an attempt's end.
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"log/slog"
+	"net/http"
 	"time"
 
+	"spokegw/internal/upstream"
 	"spokegw/internal/wheel"
 	"spokegw/policy"
 )
@@ -61,7 +64,35 @@
 	t := &s.timers
 	t.armed, t.due = 0, t.due[:0]
 	t.queue.Advance(time.Since(s.start), func(k policy.Token) { t.due = append(t.due, k) })
+	for _, k := range t.due { // first: what follows may panic
+		if k.Purpose == guarded {
+			s.unanswered(s.calls[k.Request])
+		}
+	}
 	for _, k := range t.due {
 		s.tell(func(b *policy.Balancer, now time.Duration) []policy.Action { return b.Timer(now, k) })
 	}
 }
+
+// guarded is the purpose of the timer that a request is guarded by; the module has none of
+// that number.
+const guarded uint8 = 255
+
+// guard has a request answered that the module has not answered in its time.
+func (s *Service) guard(c *call, in time.Duration) {
+	s.setTimer(c, policy.SetTimer{Token: policy.Token{Purpose: guarded, Request: c.id}, In: in})
+}
+
+// unanswered answers a request that the module was to answer before.
+func (s *Service) unanswered(c *call) {
+	if c == nil || c.over {
+		return
+	}
+	slog.Error("the module gave no answer", "request", c.exchange.head.Header.Get("Req-Id"))
+	s.unsent(c)
+	for _, a := range c.attempts {
+		a.end.End(upstream.ErrCalledOff)
+	}
+	s.conclude(c, *malformed(http.StatusGatewayTimeout, "no answer"))
+	s.tell(func(b *policy.Balancer, now time.Duration) []policy.Action { return b.Gone(now, c.id) })
+}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -27,24 +27,6 @@
 // waits to be read until its request has been taken.
 var headBuffers = sync.Pool{New: func() any { return new([framing.MaxHead]byte) }}
 
-// gone is a context that ends when the client of a connection has left. There is one a
-// connection, which a request that its client has left ends with.
-type gone struct {
-	context.Context // Background
-	done            chan struct{}
-}
-
-func (g *gone) Done() <-chan struct{} { return g.done }
-
-func (g *gone) Err() error {
-	select {
-	case <-g.done:
-		return context.Canceled
-	default:
-		return nil
-	}
-}
-
 // plain serves the plain requests of one connection. Its reader goes on reading while a
 // request is served, by a goroutine of the request's own: what shows then is that the
 // client has left, or that something follows too soon. Requests that are not plain go to
@@ -57,14 +39,17 @@
 	n      int                   // what read has read, and
 	err    error                 // why it could not
 	full   bool                  // it filled the buffer: there may be more
-	gone   *gone
-	done   chan bool // of the request that is served: whether its connection is kept
-	serves bool      // there is one, as the reader knows
+	done   chan bool             // of the request that is served: whether its connection is kept
+	open   *core.Exchange        // that request, as the reader knows; nil: there is none
+
+	// Guarded by clientConn.mu.
+	left bool        // the client has left
+	long core.Stream // the answer that is being passed on; nil: it is no long one
 }
 
 // serve serves a connection until it ends or has been handed over.
 func (s *Server) serve(c *clientConn) {
-	p := &plain{clientConn: c, server: s, done: make(chan bool, 1), gone: &gone{context.Background(), make(chan struct{})}}
+	p := &plain{clientConn: c, server: s, done: make(chan bool, 1)}
 	p.look = p.read
 	handed := false
 	defer func() {
@@ -117,11 +102,11 @@
 			return end, nil
 		}
 		err := p.fill()
-		if p.serves {
+		if p.open != nil {
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-				close(p.gone.done)
+				p.leave()
 			}
-			p.serves = false
+			p.open = nil
 			if kept := <-p.done; !kept {
 				return 0, io.EOF
 			}
@@ -135,6 +120,25 @@
 	}
 }
 
+// leave tells whoever serves the request that its client has left.
+func (p *plain) leave() {
+	p.open.Leave()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left = true; p.long != nil {
+		p.long.Abort()
+	}
+}
+
+// passing notes the answer that is being passed on, which ends if the client leaves.
+func (p *plain) passing(long core.Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.long = long; long != nil && p.left {
+		long.Abort()
+	}
+}
+
 // fill reads what there is behind c.head, once there is something.
 func (p *plain) fill() error {
 	n, err := p.receiveHead()
@@ -231,7 +235,7 @@
 	if p.due.Load() != 0 {
 		p.SetReadDeadline(time.Time{})
 	}
-	p.serves = true
+	p.open = x
 	go p.serveOne(x, held, req.Close)
 	return true
 }
@@ -250,7 +254,7 @@
 		}
 		p.done <- kept
 	}()
-	a, err := x.Do(p.gone, held)
+	a, err := x.Do(context.Background(), held)
 	if err != nil {
 		return // nobody is there to read an answer
 	}
--- a/internal/front/http1/write.go
+++ b/internal/front/http1/write.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -124,8 +123,8 @@
 
 // stream passes a long answer on as it comes, after the beginning of its body.
 func (p *plain) stream(head, body []byte, chunked bool, s core.Stream) error {
-	stop := context.AfterFunc(p.gone, s.Abort)
-	defer stop()
+	p.passing(s)
+	defer p.passing(nil)
 	err := front.Pass(body, s, func(piece []byte) error {
 		if len(piece) == 0 && len(head) == 0 {
 			return nil
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -133,18 +133,50 @@
 	}
 }
 
-// Do makes an attempt on the endpoint and waits for its end: an answer that is
-// whole, a failure, the time-out, or that end is ended. It is this attempt's alone, and ended in any
-// case once Do returns. A long answer is given to
-// stream as it begins, which returns whether it is wanted; Do then goes on until
-// that has been closed. Without stream long answers are failures.
+// Do is Begin, and waits for the end of a long answer too.
 func (p *Pool) Do(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) Answer {
+	a, more := p.Begin(end, e, req, timeout, stream)
+	if more != nil {
+		return more()
+	}
+	return a
+}
+
+// Begin makes an attempt on the endpoint and waits for its end: an answer that is
+// whole, a failure, the time-out, or that end is ended. It is this attempt's alone, and ended in any
+// case once the attempt is over. A long answer is given to
+// stream as it begins, which returns whether it is wanted. Where it is, the attempt goes on until
+// that has been closed: more waits for that and returns how the attempt ended. It is to be called
+// once, and is nil otherwise. Without stream long answers are failures.
+func (p *Pool) Begin(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) (a Answer, more func() Answer) {
 	t := &try{start: time.Now(), stream: stream, req: req, end: end}
-	defer end.End(context.Canceled)
 	t.deadline = t.start.Add(timeout)
 	t.expiry = time.AfterFunc(timeout, func() { t.end.End(errTimedOut) })
-	defer t.expiry.Stop()
-	a := p.attempt(t, e)
+	over := false
+	defer func() { // also where it panics
+		if !over {
+			t.over()
+		}
+	}()
+	a, passing := p.attempt(t, e)
+	if passing == nil {
+		return t.told(a), nil
+	}
+	over = true // not yet: more's to see to
+	return Answer{}, func() Answer {
+		defer t.over()
+		return t.told(passing())
+	}
+}
+
+// over gives back what an attempt took.
+func (t *try) over() {
+	t.expiry.Stop()
+	t.end.End(context.Canceled)
+}
+
+// told fills in what every answer tells.
+func (t *try) told(a Answer) Answer {
 	a.Dialled = t.dialled
 	if a.Elapsed == 0 {
 		a.Elapsed = t.elapsed()
@@ -187,20 +219,22 @@
 	}
 }
 
-func (p *Pool) attempt(t *try, e Endpoint) Answer {
+// attempt returns how the attempt ended, or, of one whose long answer is being passed on,
+// what waits for that.
+func (p *Pool) attempt(t *try, e Endpoint) (Answer, func() Answer) {
 	for {
 		c, err := p.get(t.end, e, t.req.Once)
 		if err != nil {
 			if ownWant(err) {
-				return Answer{Result: policy.NotSent} // that is not the endpoint's doing
+				return Answer{Result: policy.NotSent}, nil // that is not the endpoint's doing
 			}
-			return Answer{Result: policy.NoConnection}
+			return Answer{Result: policy.NoConnection}, nil
 		}
 		pooled := !c.rested.IsZero()
 		t.dialled = !pooled
-		a, unsent := p.exchange(t, c)
+		a, unsent, passing := p.exchange(t, c)
 		if !unsent || !pooled || t.end.Cause() != nil || t.req.Rest.Spent() {
-			return a
+			return a, passing
 		}
 		// A kept connection that breaks before the last byte is on it says
 		// nothing of its endpoint, which has not seen a request: it is
@@ -209,8 +243,9 @@
 }
 
 // exchange writes the request on c and reads the answer. It reports whether
-// it failed before the request's last byte was written.
-func (p *Pool) exchange(t *try, c *conn) (a Answer, unsent bool) {
+// it failed before the request's last byte was written. Where a long answer has been given
+// away passing waits until it has been passed on; it is nil otherwise.
+func (p *Pool) exchange(t *try, c *conn) (a Answer, unsent bool, passing func() Answer) {
 	t.end.At(func() {
 		c.SetDeadline(time.Unix(1, 0))
 		if t.req.Rest != nil {
@@ -231,8 +266,21 @@
 	}
 	if err == nil && a.Stream != nil {
 		a.Elapsed = t.elapsed()
-		keep, err = p.pass(t, &a)
+		if err = give(t, &a); err == nil {
+			given := a
+			return Answer{}, false, func() Answer {
+				keep, err := passed(t, &given)
+				a, _ := p.finish(t, c, w, given, keep, err)
+				return a
+			}
+		}
 	}
+	a, unsent = p.finish(t, c, w, a, keep, err)
+	return a, unsent, nil
+}
+
+// finish ends an exchange: its connection is kept, or closed.
+func (p *Pool) finish(t *try, c *conn, w *write, a Answer, keep bool, err error) (_ Answer, unsent bool) {
 	keep = t.end.Release() && keep && err == nil
 	// A connection is kept only if nothing on it is unfinished and nothing
 	// came that nobody asked for.
@@ -257,21 +305,26 @@
 	return a, false
 }
 
-// pass gives a long answer away and waits until it has been passed on.
-func (p *Pool) pass(t *try, a *Answer) (keep bool, err error) {
-	s := a.Stream
+// give gives a long answer away.
+func give(t *try, a *Answer) error {
 	// Its client decides how long it waits for the rest. One whose time is up
 	// already, or that is called off, would be given a head and nothing more.
 	if !t.expiry.Stop() || t.end.Cause() != nil {
 		t.end.End(errTimedOut) // of two causes the first counts
 		a.Free()
-		return false, errTimedOut
+		return errTimedOut
 	}
 	if !t.stream(*a) {
 		a.Free()
-		return false, errUnwanted
+		return errUnwanted
 	}
 	a.free = nil // the receiver's
+	return nil
+}
+
+// passed waits until a long answer has been passed on.
+func passed(t *try, a *Answer) (keep bool, err error) {
+	s := a.Stream
 	select {
 	case <-s.done:
 	case <-t.end.Done():
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -288,7 +288,6 @@
 // A long answer that begins in the instant in which the attempt ends is not begun
 // at the client: it would get a head, and nothing after it.
 func TestLongAnswerAtTheEnd(t *testing.T) {
-	p := newTestPool(1, 1<<20)
 	for name, c := range map[string]struct {
 		cause error
 		want  policy.Result
@@ -309,7 +308,7 @@
 			tr.end.End(c.cause)
 		}
 		freed := 0
-		if _, err := p.pass(tr, &Answer{Stream: &Stream{}, free: func() { freed++ }}); err == nil || freed != 1 {
+		if err := give(tr, &Answer{Stream: &Stream{}, free: func() { freed++ }}); err == nil || freed != 1 {
 			t.Errorf("%s: error %v, freed %d times", name, err, freed)
 		}
 		if got := failure(tr.end.Cause(), true); got != c.want {
