http1: goroutines that wait for the next request, bodies in buffers used again

bench/beside measures processor time a request beside other proxies, each in a process of its own on one core, 16 kept connections, answers of 4 KiB. Its profile of the sidecar named what to take off:

- pool.pop read the clock for each of some 60 resting connections (8% of all): a connection rests for 5 ms, so many do.
It reads it once.
- A second look at a kept connection when it was put back (3%): it is looked at before it is used again.
- strconv made an error for each request without Req-Cost; closures over the head that goes on; a copy of it for each attempt.
- Answers' bodies of 1 to 64 KiB each took a slice of their own.
Put back early, TestBuffersAreOnesOwn fails with a race.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"spokegw/internal/fields"
 	"spokegw/internal/figures"
 	"spokegw/internal/target"
 	"spokegw/internal/upstream"
@@ -284,13 +283,7 @@
 	case length == 0 && (h.Method == http.MethodGet || h.Method == http.MethodHead):
 		length = upstream.NoLength
 	}
-	r := upstream.NewRequest(h.Method, h.Target, h.Host, length, func(each func(name, value string)) {
-		fields.Passed(h.Header, func(name, value string) {
-			if !misspelt(name) {
-				each(name, value)
-			}
-		})
-	})
+	r := upstream.NewRequest(h.Method, h.Target, h.Host, length, h.Header, misspelt)
 	r.Body, r.Once = body, x.place.rules.Effect == policy.Unsafe
 	if x.source != nil {
 		r.Rest = &upstream.Rest{Source: x.source, Chunked: h.Length < 0, Patience: patience}
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -130,8 +130,10 @@
 	}
 	// One over its share costs the others; a tenant that nobody knows has none.
 	q.Tenant = slices.Index(m.settled.tenants, h.Get("Req-Owner"))
-	if cost, err := strconv.ParseFloat(h.Get("Req-Cost"), 64); err == nil && cost > 0 && cost < 1e12 {
-		q.Cost = cost / 1e6
+	if text := h.Get("Req-Cost"); text != "" { // the error for none is allocated each time
+		if cost, err := strconv.ParseFloat(text, 64); err == nil && cost > 0 && cost < 1e12 {
+			q.Cost = cost / 1e6
+		}
 	}
 	return nil
 }
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -14,22 +14,49 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Req-Deadline": true,
 }
 
-// Passed calls each for the fields of h that go on. The names in h are
-// canonical. Fields that Connection names stay behind, but for those that
-// decide what becomes of a request: a client can't have them taken away.
-func Passed(h http.Header, each func(name, value string)) {
-	var named []string
+// Rule says which fields of one message go on.
+type Rule struct{ named []string }
+
+// Of is the rule for a message with these fields, whose names are canonical. Those that
+// Connection names stay behind, but for those that decide what becomes of a request: a
+// client can't have them taken away.
+func Of(h http.Header) (r Rule) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
-			named = append(named, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+			r.named = append(r.named, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return r
+}
+
+// Passes reports whether a field goes on.
+func (r Rule) Passes(name string) bool {
+	return !hopByHop[name] && (!slices.Contains(r.named, name) || name == "Req-Id" || name == "Idempotency-Key")
+}
+
+// Passed calls each for the fields of h that go on.
+func Passed(h http.Header, each func(name, value string)) {
+	r := Of(h)
+	for name, values := range h {
+		if r.Passes(name) {
+			for _, v := range values {
+				each(name, v)
+			}
 		}
 	}
+}
+
+// Append appends the lines of the fields of h that go on, but for those that without
+// names, where it is not nil.
+func Append(b []byte, h http.Header, without func(name string) bool) []byte {
+	r := Of(h)
 	for name, values := range h {
-		if hopByHop[name] || slices.Contains(named, name) && name != "Req-Id" && name != "Idempotency-Key" {
+		if !r.Passes(name) || without != nil && without(name) {
 			continue
 		}
 		for _, v := range values {
-			each(name, v)
+			b = append(append(append(append(b, name...), ": "...), v...), "\r\n"...)
 		}
 	}
+	return b
 }
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -209,11 +209,14 @@
 	p.extra.Store(false)
 	p.serving.Store(true)
 	length := max(req.Length, 0)
-	body := &plainBody{p: p, left: length, here: p.head[end:min(len(p.head), end+int(length))]}
+	one := &struct { // together, as they last
+		head core.Head
+		body plainBody
+	}{body: plainBody{p: p, left: length, here: p.head[end:min(len(p.head), end+int(length))]}}
+	body := &one.body
 	p.follows(len(p.head) > end+int(length))
-	x, refused := p.server.core.Open(&core.Head{
-		Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header, Length: length,
-	})
+	one.head = core.Head{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header, Length: length}
+	x, refused := p.server.core.Open(&one.head)
 	if refused != nil {
 		return p.refuse(refused, body, req.Close)
 	}
@@ -236,7 +239,7 @@
 		p.SetReadDeadline(time.Time{})
 	}
 	p.open = x
-	go p.serveOne(x, held, req.Close)
+	p.server.workers.serve(job{p, x, held, req.Close})
 	return true
 }
 
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -114,8 +114,9 @@
 	}
 }
 
-// What a request is made of is not another's: heads are read into buffers that the next
-// connection has as soon as a request has been taken.
+// What a request and its answer are made of is not another's: heads are read into buffers
+// that the next connection has as soon as a request has been taken, answers' bodies into
+// those that the next answer has when this one has been written.
 func TestBuffersAreOnesOwn(t *testing.T) {
 	s := start(t, nil, listenEndpoint(t, func(c net.Conn, br *bufio.Reader) {
 		for {
@@ -138,8 +139,9 @@
 			for i := range 100 {
 				id := fmt.Sprintf("%d-%d", n, i)
 				own := strings.Repeat(fmt.Sprint(n), 50+i)
-				io.WriteString(c, strings.Replace(report(id, own), "Host", "X-Own: "+own+"\r\nHost", 1))
-				if status, body := read(t, c); status != 200 || body != id+own+own {
+				sent := strings.Repeat(own, 40)
+				io.WriteString(c, strings.Replace(report(id, sent), "Host", "X-Own: "+own+"\r\nHost", 1))
+				if status, body := read(t, c); status != 200 || body != id+sent+own {
 					t.Errorf("request %s is answered %d %q", id, status, body)
 					return
 				}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -58,6 +58,7 @@
 	server   *http.Server // of what is not plain
 	rest     *rest        // hands it connections
 	conns    *connTable
+	workers  workers
 }
 
 // Listen opens the server's address.
@@ -159,6 +160,7 @@
 	go func() { served <- s.server.Serve(s.rest) }()
 	defer func() {
 		s.rest.Close()
+		s.workers.close()
 		<-served
 	}()
 	accepting := make(chan error, 1)
--- a/internal/front/http1/write.go
+++ b/internal/front/http1/write.go
@@ -68,10 +68,8 @@
 		}
 		body = append(append(make([]byte, 0, len(reason)+1), reason...), '\n')
 	} else {
-		fields.Passed(a.Header, func(name, value string) {
-			dated = dated || name == "Date"
-			b = appendField(b, name, value)
-		})
+		dated = a.Header["Date"] != nil
+		b = fields.Append(b, a.Header, nil)
 	}
 	if a.RetryAfter > 0 {
 		b = append(b, "Retry-After: "...)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"spokegw/internal/fields"
 	"spokegw/internal/framing"
 	"spokegw/policy"
 )
@@ -48,16 +50,14 @@
 	ChunkedLength = -2
 )
 
-// NewRequest makes a request without a body. length is that of the body that is
-// to come; fields calls each for the other fields. The head ends in
-// Req-Deadline, whose value is left to the attempt.
-func NewRequest(method, target, host string, length int64, fields func(each func(name, value string))) *Request {
+// NewRequest makes a request without a body. length is that of the body that
+// is to come; of the fields those go on that do by their names, but for those that without
+// names. The head ends in Req-Deadline, whose value is left to the attempt.
+func NewRequest(method, target, host string, length int64, header http.Header, without func(name string) bool) *Request {
 	b := make([]byte, 0, usualHead)
 	b = append(append(append(b, method...), ' '), target...)
 	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), host...), "\r\n"...)
-	fields(func(name, value string) {
-		b = append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
-	})
+	b = fields.Append(b, header, without)
 	switch {
 	case length >= 0:
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), length, 10), "\r\n"...)
@@ -123,6 +123,7 @@
 	Dialled bool // on a connection made for it
 
 	free func()
+	kept *keptBody // that Body may stand in; nil: in a slice of its own
 }
 
 // Free gives back what the body holds of the pool's room for long ones. It is
@@ -131,6 +132,9 @@
 	if a.free != nil {
 		a.free()
 	}
+	if a.kept != nil {
+		a.kept.of.Put(a.kept)
+	}
 }
 
 // Do is Begin, and waits for the end of a long answer too.
@@ -193,6 +197,7 @@
 	deadline time.Time
 	expiry   *time.Timer
 	patience answerWait
+	write    write // of a short request
 	dialled  bool
 	uploaded atomic.Int64 // ns after start when the last byte of a Rest was written; 0: not
 }
@@ -282,9 +287,10 @@
 // finish ends an exchange: its connection is kept, or closed.
 func (p *Pool) finish(t *try, c *conn, w *write, a Answer, keep bool, err error) (_ Answer, unsent bool) {
 	keep = t.end.Release() && keep && err == nil
-	// A connection is kept only if nothing on it is unfinished and nothing
-	// came that nobody asked for.
-	if keep = keep && w.over() && w.sent && c.quiet(); !keep {
+	// A connection is kept only if nothing on it is unfinished and nothing that nobody
+	// asked for came along with the answer; what comes behind it is looked for before the
+	// connection is used again.
+	if keep = keep && w.over() && w.sent && c.r.Buffered() == 0; !keep {
 		c.Close() // ends a write that still waits
 	}
 	w.wait()
@@ -330,7 +336,7 @@
 	case <-t.end.Done():
 		<-s.done // Read fails now
 	}
-	a.Stream, a.Body = nil, nil
+	a.Stream, a.Body, a.kept = nil, nil, nil // they are the receiver's
 	if s.whole {
 		return s.keep, nil
 	}
@@ -366,23 +372,35 @@
 	sent bool          // the last byte was written
 }
 
+// inlineBuffers are what short requests are written from: a write that does not wait is
+// over when the buffer goes back.
+var inlineBuffers = sync.Pool{New: func() any { return new([inlineWrite]byte) }}
+
+// deadlineRoom is what the deadline's value, in microseconds, and the end of the head take
+// at most.
+const deadlineRoom = 32
+
+// deadline ends a head with what is left of the request's time.
+func deadline(head []byte, t *try) []byte {
+	head = strconv.AppendInt(head, max(t.left().Microseconds(), 1), 10)
+	return append(head, "u\r\n\r\n"...)
+}
+
 func startWrite(c *conn, t *try) *write {
 	req := t.req
-	body := req.Body
-	if len(body) > inlineWrite {
-		body = nil // is not copied
+	short := req.Rest == nil && len(req.Head)+deadlineRoom+len(req.Body) <= inlineWrite
+	if short {
+		buf := inlineBuffers.Get().(*[inlineWrite]byte)
+		head := append(deadline(append(buf[:0], req.Head...), t), req.Body...)
+		n, _ := c.TCPConn.Write(head) // an error shows in the answer
+		inlineBuffers.Put(buf)
+		t.write.sent = n == len(head)
+		return &t.write
 	}
-	head := append(make([]byte, 0, len(req.Head)+32+len(body)), req.Head...)
-	head = strconv.AppendInt(head, max(t.left().Microseconds(), 1), 10)
-	head = append(head, "u\r\n\r\n"...)
+	head := deadline(append(make([]byte, 0, len(req.Head)+deadlineRoom), req.Head...), t)
 	if req.Rest != nil {
 		return startStream(c, t, head)
 	}
-	if len(head)+len(req.Body) <= inlineWrite {
-		head = append(head, req.Body...)
-		n, _ := c.TCPConn.Write(head) // an error shows in the answer
-		return &write{sent: n == len(head)}
-	}
 	parts, total := net.Buffers{head, req.Body}, int64(len(head)+len(req.Body))
 	w := &write{done: make(chan struct{})}
 	go func() {
@@ -531,7 +549,7 @@
 			limit, size = 4<<10, 4<<10 // enough to know that it comes
 		}
 	}
-	a.Body = make([]byte, 0, size)
+	a.Body = a.room(size)
 	for {
 		if a.Length >= 0 && int64(len(a.Body)) == a.Length {
 			return true, nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -96,6 +96,8 @@
 // it is for a request that can't be sent again.
 func (p *Pool) get(ctx context.Context, e Endpoint, once bool) (*conn, error) {
 	for c := p.pop(e, once); c != nil; c = p.pop(e, once) {
+		// Endpoints close early, and send what nobody asked for: that would be taken for
+		// the answer to this request.
 		n, closed := peek.Peek(c.TCPConn)
 		if c.rest < p.maxIdle && n == 0 && !closed && c.r.Buffered() == 0 {
 			return c, nil
@@ -174,10 +176,12 @@
 	if once {
 		most = p.lasting.most(e, most)
 	}
+	now := time.Now() // once: where many rest it would be read for each
 	for i := len(list) - 1; i >= 0; i-- {
-		c := list[i]
-		c.rest = time.Since(c.rested)
-		if c.rest >= p.settle && (c.rest < most || c.rest >= p.maxIdle) {
+		rest := now.Sub(list[i].rested)
+		if rest >= p.settle && (rest < most || rest >= p.maxIdle) {
+			c := list[i]
+			c.rest = rest
 			p.setIdle(e, slices.Delete(list, i, i+1))
 			return c
 		}
@@ -286,11 +290,3 @@
 
 // Open counts the connections that are open or being made.
 func (p *Pool) Open() int { return int(p.slots.Used()) }
-
-// quiet reports whether an idle connection is open with nothing to read. It
-// guards against endpoints that close early, or send what nobody asked for:
-// that would be taken for the answer to the next request.
-func (c *conn) quiet() bool {
-	n, closed := peek.Peek(c.TCPConn)
-	return n == 0 && !closed && c.r.Buffered() == 0
-}
