--- a/internal/front/http1/http1_test.go
+++ b/internal/front/http1/http1_test.go
@@ -29,7 +29,7 @@
 const patience = 20 * time.Second
 
 // endpoint listens as one would and answers each connection by hand.
-func listenEndpoint(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
+func listenEndpoint(t testing.TB, serve func(c net.Conn, r *bufio.Reader)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +76,7 @@
 }
 
 // startWith is start with settings of the server's own.
-func startWith(t *testing.T, config Config, change func(c *core.ServiceConfig), endpoints ...string) *Server {
+func startWith(t testing.TB, config Config, change func(c *core.ServiceConfig), endpoints ...string) *Server {
 	t.Helper()
 	const limit, crowd = 140, 40
 	c := core.ServiceConfig{
@@ -110,7 +110,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	config.Listen, config.Limit, config.Crowd, config.Longest = "127.0.0.1:0", limit, crowd, 8*time.Second
+	config.Listen, config.Longest = "127.0.0.1:0", 8*time.Second
+	if config.Limit == 0 {
+		config.Limit, config.Crowd = limit, crowd
+	}
 	s, err := Listen(config, core.New(table))
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/front/http1/idle_test.go
@@ -0,0 +1,51 @@
+package http1
+
+import (
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"syscall"
+	"testing"
+)
+
+// BenchmarkIdle tells what a connection takes that rests after a request. Its clients are
+// bare sockets, which take nothing of the process's own memory.
+func BenchmarkIdle(b *testing.B) {
+	const connections = 4000 // each takes two descriptors here
+	s := startWith(b, Config{Limit: 2 * connections, Crowd: 2 * connections}, nil, listenEndpoint(b, echo(func(*http.Request) {})))
+	addr := s.Addr().(*net.TCPAddr)
+	to := &syscall.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())}
+	buf := make([]byte, 4096)
+	var before, after runtime.MemStats
+	for b.Loop() {
+		var all []int
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range connections {
+			fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+			if err != nil {
+				b.Fatal(err)
+			}
+			all = append(all, fd)
+			if err := syscall.Connect(fd, to); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := syscall.Write(fd, []byte(tile(strconv.Itoa(i)))); err != nil {
+				b.Fatal(err)
+			}
+			if n, err := syscall.Read(fd, buf); n <= 0 {
+				b.Fatal(n, err)
+			}
+		}
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		heap, stacks := float64(after.HeapAlloc)-float64(before.HeapAlloc), float64(after.StackInuse)-float64(before.StackInuse)
+		b.ReportMetric(heap/connections, "heap-B/conn")
+		b.ReportMetric(stacks/connections, "stack-B/conn")
+		for _, fd := range all {
+			syscall.Close(fd)
+		}
+	}
+}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -40,11 +40,12 @@
 	err    error                 // why it could not
 	full   bool                  // it filled the buffer: there may be more
 	done   chan bool             // of the request that is served: whether its connection is kept
-	open   *core.Exchange        // that request, as the reader knows; nil: there is none
+	serves bool                  // there is one, as the reader knows
 
 	// Guarded by clientConn.mu.
-	left bool        // the client has left
-	long core.Stream // the answer that is being passed on; nil: it is no long one
+	left bool           // the client has left
+	open *core.Exchange // the request that is served; nil: there is none
+	long core.Stream    // the answer that is being passed on; nil: it is no long one
 }
 
 // serve serves a connection until it ends or has been handed over.
@@ -102,11 +103,11 @@
 			return end, nil
 		}
 		err := p.fill()
-		if p.open != nil {
+		if p.serves {
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 				p.leave()
 			}
-			p.open = nil
+			p.serves = false
 			if kept := <-p.done; !kept {
 				return 0, io.EOF
 			}
@@ -122,12 +123,22 @@
 
 // leave tells whoever serves the request that its client has left.
 func (p *plain) leave() {
-	p.open.Leave()
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	x := p.open
 	if p.left = true; p.long != nil {
 		p.long.Abort()
 	}
+	p.mu.Unlock()
+	if x != nil {
+		x.Leave()
+	}
+}
+
+// opens notes the request that is served; a connection that rests holds none.
+func (p *plain) opens(x *core.Exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open = x
 }
 
 // passing notes the answer that is being passed on, which ends if the client leaves.
@@ -238,7 +249,8 @@
 	if p.due.Load() != 0 {
 		p.SetReadDeadline(time.Time{})
 	}
-	p.open = x
+	p.serves = true
+	p.opens(x)
 	p.server.workers.serve(job{p, x, held, req.Close})
 	return true
 }
@@ -252,6 +264,7 @@
 			slog.Error("panic", "in", "http1", "panic", r, "stack", string(debug.Stack()))
 			kept = false
 		}
+		p.opens(nil)
 		if !kept {
 			p.callOff()
 		}
