core: a call and its first attempt are one piece, and events need no closures

What a request allocated in core and upstream beside its call: an attempt, a slice of one, a channel, closures for its two events, for long answers, for its end on the connection, for giving back its body and its room. The first attempt and its slice are parts of the call now, channels are used again once the one answer has come, and the rest are methods on what is there.

--- a/bench/overload/main.go
+++ b/bench/overload/main.go
@@ -85,25 +85,16 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	var endpoints []*lab.Endpoint
-	for range 4 {
-		e, err := lab.StartEndpoint(lab.EndpointConfig{Workers: workers, Work: time.Millisecond, Body: 4 << 10})
-		if err != nil {
-			return err
-		}
-		defer e.Close()
-		endpoints = append(endpoints, e)
-	}
-	registry, err := lab.StartRegistry(scene.Entries(endpoints...), nil)
+	backends, err := scene.StartBackends(4, lab.EndpointConfig{Workers: workers, Work: time.Millisecond, Body: 4 << 10})
+	defer backends.Close()
 	if err != nil {
 		return err
 	}
-	defer registry.Close()
 	listen, err := process.FreeAddr()
 	if err != nil {
 		return err
 	}
-	p, err := start(dir, listen, registry, endpoints, c)
+	p, err := start(dir, listen, backends.Registry, backends.Endpoints, c)
 	if err != nil {
 		return err
 	}
--- a/bench/upgrade/main.go
+++ b/bench/upgrade/main.go
@@ -69,30 +69,21 @@
 	defer os.RemoveAll(dir)
 	var total tally
 	var seen sync.Map
-	var endpoints []*lab.Endpoint
-	for range 4 {
-		e, err := lab.StartEndpoint(lab.EndpointConfig{Workers: 64, Body: 2000, Work: 5 * time.Millisecond, Seen: func(r *http.Request) {
-			if _, twice := seen.LoadOrStore(r.Header.Get("Req-Id"), true); twice {
-				total.doubled.Add(1)
-			}
-		}})
-		if err != nil {
-			return err
+	backends, err := scene.StartBackends(4, lab.EndpointConfig{Workers: 64, Body: 2000, Work: 5 * time.Millisecond, Seen: func(r *http.Request) {
+		if _, twice := seen.LoadOrStore(r.Header.Get("Req-Id"), true); twice {
+			total.doubled.Add(1)
 		}
-		defer e.Close()
-		endpoints = append(endpoints, e)
-	}
-	registry, err := lab.StartRegistry(scene.Entries(endpoints...), nil)
+	}})
+	defer backends.Close()
 	if err != nil {
 		return err
 	}
-	defer registry.Close()
 	listen, err := process.FreeAddr()
 	if err != nil {
 		return err
 	}
 	config := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(config, configuration(listen, registry.Addr(), endpoints), 0o600); err != nil {
+	if err := os.WriteFile(config, configuration(listen, backends.Registry.Addr(), backends.Endpoints), 0o600); err != nil {
 		return err
 	}
 	now, _, err := start(dir, config, 0)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,8 +41,8 @@
 	RetryAfter time.Duration // when a refused client should come back; 0: not told
 	Malformed  bool          // what follows on the connection is in doubt: a front closes it
 
-	free   func()
-	count  *figures.Class // nil: the request is not counted
+	from   *upstream.Answer // it holds what is given back with it; nil: nothing
+	count  *figures.Class   // nil: the request is not counted
 	stream *upstream.Stream
 }
 
@@ -89,8 +89,8 @@
 	if a.stream != nil {
 		a.stream.Close()
 	}
-	if a.free != nil {
-		a.free()
+	if a.from != nil {
+		a.from.Free()
 	}
 }
 
@@ -256,6 +256,7 @@
 	c := x.service.request(x, x.upstream(body, patience))
 	defer x.service.leave(x.head.Front)
 	a := <-c.answer
+	answers.Put(c.answer) // it carries one answer, which has come
 	if a.Status == 0 {
 		x.trace.endWith(nil)
 		x.place.count.End(figures.Abandoned)
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -118,9 +118,11 @@
 	over     bool        // answered, or the client left
 	here     bool        // an event of the request's own goroutine is carried out, which makes
 	next     *attempt    // this attempt then
+	made     *attempt    // and made that one last
 	attempts []*attempt
-	open     int    // attempts that are out
-	free     func() // gives back what the body holds
+	open     int     // attempts that are out
+	first    attempt // the most that most need, in one piece with the call
+	room     [1]*attempt
 	slow     bool   // the latest attempt timed out
 	keyed    bool   // the request has a key
 	key      uint64 // hash of it
@@ -141,7 +143,9 @@
 	n        int
 	endpoint policy.EndpointID
 	end      upstream.Ending
-	sent     bool // it was noted as sent
+	sent     bool            // it was noted as sent
+	result   upstream.Answer // that the request was answered with
+	outcome  upstream.Answer // of one that the request's own goroutine has made
 	to       upstream.Endpoint
 	note     *keyed.Note
 	timeout  time.Duration
@@ -161,7 +165,11 @@
 }
 
 func (s *Service) tell(tell func(b *policy.Balancer, now time.Duration) []policy.Action) {
-	for _, a := range tell(s.balancer, s.now()) {
+	s.carryOutAll(tell(s.balancer, s.now()))
+}
+
+func (s *Service) carryOutAll(actions []policy.Action) {
+	for _, a := range actions {
 		s.carryOut(a)
 	}
 	// The module's actions are valid until the next call on it, so what was
@@ -218,45 +226,57 @@
 // be made by that, before anything is waited for: one goroutine fewer for most requests.
 // nil: none is. Where attempts can't be called off it never is: the request's answer may
 // come of another one first, and is not to wait for this.
-func (s *Service) eventOf(c *call, tell func(b *policy.Balancer, now time.Duration) []policy.Action) *attempt {
+func (s *Service) eventOf(c *call, event func(s *Service, c *call)) *attempt {
 	defer logPanic("event")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.here = s.settled.policy.Cancel && c.req.Rest == nil
 	defer func() { c.here = false }()
-	s.tell(tell)
+	event(s, c)
 	next := c.next
-	c.next = nil
+	if c.next = nil; next != nil {
+		c.made = next
+	}
 	return next
 }
 
+// answers are what answers are handed over by. Each carries one and is used again then.
+var answers = sync.Pool{New: func() any { return make(chan Answer, 1) }}
+
 // request tells the module of a request, and makes the attempts that are the caller's to
 // make. The caller then waits on the answer.
 func (s *Service) request(x *Exchange, req *upstream.Request) *call {
-	q := x.request
-	c := &call{exchange: x, class: q.Class, ticket: x.ticket, req: req, answer: make(chan Answer, 1), free: x.release, keyed: x.keyed, key: x.key, trace: x.trace}
-	next := s.eventOf(c, func(b *policy.Balancer, now time.Duration) []policy.Action {
-		if s.lastID++; s.lastID == 0 { // no request's: timers that are of none have it
-			s.lastID++
-		}
-		c.id, q.ID = s.lastID, s.lastID
-		s.calls[c.id] = c
-		s.pin(c, &q, now, x.head.Header)
-		if c.trace != nil {
-			c.trace.step("taken", "%v left, pools %b, owed by contract: %v, pinned: %v", q.Left.Round(time.Millisecond), c.mask, q.Owed, q.Only != nil)
-		}
-		if x.call = c; x.left {
-			return s.left(c)
-		}
-		s.guard(c, q.Left+answerOverdue)
-		return b.Request(now, q)
-	})
-	for next != nil {
+	c := &call{
+		exchange: x, class: x.request.Class, ticket: x.ticket, req: req, answer: answers.Get().(chan Answer),
+		keyed: x.keyed, key: x.key, trace: x.trace,
+	}
+	c.attempts = c.room[:0]
+	for next := s.eventOf(c, (*Service).take); next != nil; {
 		next = s.make(next, true)
 	}
 	return c
 }
 
+// take tells the module of a request.
+func (s *Service) take(c *call) {
+	q, now := c.exchange.request, s.now()
+	if s.lastID++; s.lastID == 0 { // no request's: timers that are of none have it
+		s.lastID++
+	}
+	c.id, q.ID = s.lastID, s.lastID
+	s.calls[c.id] = c
+	s.guard(c, q.Left+answerOverdue) // first: what follows may panic
+	s.pin(c, &q, now, c.exchange.head.Header)
+	if c.trace != nil {
+		c.trace.step("taken", "%v left, pools %b, owed by contract: %v, pinned: %v", q.Left.Round(time.Millisecond), c.mask, q.Owed, q.Only != nil)
+	}
+	if c.exchange.call = c; c.exchange.left {
+		s.left(c)
+		return
+	}
+	s.carryOutAll(s.balancer.Request(now, q))
+}
+
 // leave ends a request whose client has left, now or before the module is told of it.
 func (x *Exchange) leave(s *Service) {
 	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
@@ -268,11 +288,10 @@
 	})
 }
 
-// left has a call over without an answer. It returns no actions.
-func (s *Service) left(c *call) []policy.Action {
+// left has a call over without an answer.
+func (s *Service) left(c *call) {
 	s.unsent(c)
 	s.conclude(c, Answer{})
-	return nil
 }
 
 // conclude gives the final answer, once.
@@ -292,7 +311,7 @@
 		for _, t := range c.timers[:c.set] {
 			s.timers.queue.Cancel(t)
 		}
-		c.free()
+		c.exchange.release()
 	}
 }
 
@@ -301,7 +320,11 @@
 	if c == nil {
 		return
 	}
-	a := &attempt{call: c, n: len(c.attempts), endpoint: to.Endpoint}
+	a := &c.first
+	if len(c.attempts) > 0 {
+		a = new(attempt)
+	}
+	a.call, a.n, a.endpoint = c, len(c.attempts), to.Endpoint
 	allowed := !c.req.Rest.Spent() && s.mayRepeat(c)
 	c.attempts = append(c.attempts, a)
 	if !allowed {
@@ -359,10 +382,15 @@
 		result = upstream.Answer{Result: policy.NotSent} // nobody would know of it after a kill
 		return nil
 	}
-	result, more = s.pool.Begin(&a.end, a.to, c.req, left, func(long upstream.Answer) bool { return s.begun(c, a, long) })
+	result, more = s.pool.Begin(&a.end, a.to, c.req, left, a)
 	return nil
 }
 
+// Take takes a long answer that begins, for upstream.
+func (a *attempt) Take(long upstream.Answer) bool {
+	return a.call.exchange.service.begun(a.call, a, long)
+}
+
 // begun gives out an answer that goes on for long. It reports whether it is
 // wanted; nothing of the request is sent elsewhere from then on.
 func (s *Service) begun(c *call, a *attempt, long upstream.Answer) (wanted bool) {
@@ -371,46 +399,66 @@
 			return nil
 		}
 		wanted, c.over = true, true
-		c.answer <- Answer{Status: http.StatusOK, Header: long.Header, Body: long.Body, Length: long.Length, stream: long.Stream, free: long.Free}
+		a.result = long
+		c.answer <- a.answer()
 		return b.StreamStarted(now, c.id, a.n)
 	})
 	return wanted
 }
 
+// answer is the request's, as the attempt had it.
+func (a *attempt) answer() Answer {
+	r := &a.result
+	return Answer{Status: http.StatusOK, Header: r.Header, Body: r.Body, Length: r.Length, stream: r.Stream, from: r}
+}
+
 // ended takes the end of an attempt, and returns the one that is its goroutine's to make
 // next.
 func (s *Service) ended(c *call, a *attempt, result upstream.Answer, own bool) (next *attempt) {
-	tell := func(b *policy.Balancer, now time.Duration) []policy.Action {
-		if result.Result == policy.Served && !c.over {
-			c.over = true
-			c.answer <- Answer{Status: http.StatusOK, Header: result.Header, Body: result.Body, Length: result.Length, free: result.Free}
-		} else {
-			result.Free()
-		}
-		if a.sent {
-			s.noteEnded(c, result.Result)
-		}
-		if s.pools.any {
-			s.seen(c, a, result)
-		}
-		if result.Result.NeverRan() {
-			c.unsure--
-		}
-		c.traced(a, result)
-		told := s.blamed(result)
-		s.settle(c, a, told)
-		c.slow = result.Result == policy.NoAnswer
-		c.open--
-		s.forget(c)
-		return b.Outcome(now, s.outcome(a, told))
-	}
 	if own {
-		return s.eventOf(c, tell)
+		a.outcome = result
+		return s.eventOf(c, (*Service).firstEnded)
 	}
-	s.event(tell)
+	defer logPanic("event")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attemptEnded(a, result)
 	return nil
 }
 
+// firstEnded is attemptEnded for the attempt that the request's own goroutine has made.
+func (s *Service) firstEnded(c *call) {
+	a := c.made
+	s.attemptEnded(a, a.outcome)
+}
+
+func (s *Service) attemptEnded(a *attempt, result upstream.Answer) {
+	c := a.call
+	if result.Result == policy.Served && !c.over {
+		c.over = true
+		a.result = result
+		c.answer <- a.answer()
+	} else {
+		result.Free()
+	}
+	if a.sent {
+		s.noteEnded(c, result.Result)
+	}
+	if s.pools.any {
+		s.seen(c, a, result)
+	}
+	if result.Result.NeverRan() {
+		c.unsure--
+	}
+	c.traced(a, result)
+	told := s.blamed(result)
+	s.settle(c, a, told)
+	c.slow = result.Result == policy.NoAnswer
+	c.open--
+	s.forget(c)
+	s.carryOutAll(s.balancer.Outcome(s.now(), s.outcome(a, told)))
+}
+
 // outcome is what the module is told of an attempt's end.
 func (s *Service) outcome(a *attempt, result upstream.Answer) policy.Outcome {
 	return policy.Outcome{
--- /dev/null
+++ b/internal/lab/scene/backends.go
@@ -0,0 +1,34 @@
+package scene
+
+import "spokegw/internal/lab"
+
+// Backends are endpoints alike and a registry that lists them, for a sidecar in a process
+// of its own.
+type Backends struct {
+	Endpoints []*lab.Endpoint
+	Registry  *lab.Registry
+}
+
+// StartBackends starts so many. They are to be closed, also after an error.
+func StartBackends(endpoints int, c lab.EndpointConfig) (b *Backends, err error) {
+	b = &Backends{}
+	for range endpoints {
+		e, err := lab.StartEndpoint(c)
+		if err != nil {
+			return b, err
+		}
+		b.Endpoints = append(b.Endpoints, e)
+	}
+	b.Registry, err = lab.StartRegistry(Entries(b.Endpoints...), nil)
+	return b, err
+}
+
+// Close ends them all.
+func (b *Backends) Close() {
+	for _, e := range b.Endpoints {
+		e.Close()
+	}
+	if b.Registry != nil {
+		b.Registry.Close()
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -139,20 +139,31 @@
 
 // Do is Begin, and waits for the end of a long answer too.
 func (p *Pool) Do(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) Answer {
-	a, more := p.Begin(end, e, req, timeout, stream)
+	var taker Taker
+	if stream != nil {
+		taker = takes(stream)
+	}
+	a, more := p.Begin(end, e, req, timeout, taker)
 	if more != nil {
 		return more()
 	}
 	return a
 }
 
+// Taker takes a long answer as it begins; it reports whether that is wanted.
+type Taker interface{ Take(long Answer) bool }
+
+type takes func(Answer) bool
+
+func (take takes) Take(long Answer) bool { return take(long) }
+
 // Begin makes an attempt on the endpoint and waits for its end: an answer that is
 // whole, a failure, the time-out, or that end is ended. It is this attempt's alone, and ended in any
 // case once the attempt is over. A long answer is given to
 // stream as it begins, which returns whether it is wanted. Where it is, the attempt goes on until
 // that has been closed: more waits for that and returns how the attempt ended. It is to be called
 // once, and is nil otherwise. Without stream long answers are failures.
-func (p *Pool) Begin(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream func(Answer) bool) (a Answer, more func() Answer) {
+func (p *Pool) Begin(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream Taker) (a Answer, more func() Answer) {
 	t := &try{start: time.Now(), stream: stream, req: req, end: end}
 	t.deadline = t.start.Add(timeout)
 	t.expiry = time.AfterFunc(timeout, func() { t.end.End(errTimedOut) })
@@ -191,7 +202,7 @@
 // try is one attempt while it is made.
 type try struct {
 	req      *Request
-	stream   func(Answer) bool
+	stream   Taker
 	end      *Ending
 	start    time.Time
 	deadline time.Time
@@ -251,12 +262,14 @@
 // it failed before the request's last byte was written. Where a long answer has been given
 // away passing waits until it has been passed on; it is nil otherwise.
 func (p *Pool) exchange(t *try, c *conn) (a Answer, unsent bool, passing func() Answer) {
-	t.end.At(func() {
-		c.SetDeadline(time.Unix(1, 0))
-		if t.req.Rest != nil {
+	if t.req.Rest == nil {
+		t.end.At(c.cut)
+	} else {
+		t.end.At(func() {
+			c.cut()
 			t.req.Rest.Source.Interrupt()
-		}
-	})
+		})
+	}
 	w := startWrite(c, t)
 	a, keep, err := c.readAnswer(t)
 	if t.req.Rest != nil && (err != nil || a.Result != policy.Served) {
@@ -320,7 +333,7 @@
 		a.Free()
 		return errTimedOut
 	}
-	if !t.stream(*a) {
+	if !t.stream.Take(*a) {
 		a.Free()
 		return errUnwanted
 	}
@@ -520,7 +533,7 @@
 	case head.Length > MaxStream, toEnd && !endTold(&head):
 		return a, false, errBody
 	}
-	body := bodyOf(c.r, &head)
+	body := c.bodyOf(&head)
 	whole, err := readBody(&a, body, patience)
 	switch {
 	case err != nil && a.Result != policy.Served:
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -18,13 +18,14 @@
 
 var errTrailer = errors.New("what follows the last chunk is no trailer, or too long")
 
-func bodyOf(r *bufio.Reader, a *framing.Answer) *body {
-	b := &body{r: r, left: a.Length}
+func (c *conn) bodyOf(a *framing.Answer) *body {
+	b := &c.body
+	*b = body{r: c.r, left: a.Length}
 	switch {
 	case !a.HasBody():
 		b.left = 0
 	case a.Chunked:
-		b.chunks = httputil.NewChunkedReader(r)
+		b.chunks = httputil.NewChunkedReader(c.r)
 	}
 	return b
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -88,6 +88,8 @@
 	r      *bufio.Reader // holds the longest head there may be
 	rested time.Time     // idle since; zero: new
 	rest   time.Duration // before it was used this time
+	body   body          // of the answer that is read
+	cut    func()        // ends what is under way on it, made once
 }
 
 var errNoSlot = errors.New("all upstream connections are in use")
@@ -115,7 +117,9 @@
 		p.slots.Release(1)
 		return nil, err
 	}
-	return &conn{TCPConn: nc.(*net.TCPConn), pool: p, to: e, r: bufio.NewReaderSize(nc, framing.MaxHead)}, nil
+	c := &conn{TCPConn: nc.(*net.TCPConn), pool: p, to: e, r: bufio.NewReaderSize(nc, framing.MaxHead)}
+	c.cut = func() { c.SetDeadline(time.Unix(1, 0)) }
+	return c, nil
 }
 
 // reserve makes room for one more connection, at the cost of the one idle
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -297,10 +297,10 @@
 		"called off":      {ErrCalledOff, policy.CalledOff},
 		"the timer's own": {nil, policy.NoAnswer}, // it has gone off, and its call has not been made
 	} {
-		tr := &try{end: new(Ending), stream: func(Answer) bool {
+		tr := &try{end: new(Ending), stream: takes(func(Answer) bool {
 			t.Errorf("%s: it was passed on", name)
 			return false
-		}}
+		})}
 		tr.expiry = time.NewTimer(long)
 		if c.cause == nil {
 			tr.expiry.Stop()
