--- a/bench/beside/main.go
+++ b/bench/beside/main.go
@@ -50,6 +50,9 @@
 	body := flag.Int("body", 4096, "bytes of an answer")
 	connections := flag.Int("connections", 16, "that clients keep")
 	core := flag.Int("core", 0, "that the proxies run on")
+	share := flag.Float64("share", 0, "of a core that each is held to; delays at -rate are told then")
+	rate := flag.Float64("rate", 1000, "requests a second, with -share")
+	lasts := flag.Duration("lasts", 10*time.Second, "of those")
 	way := flag.String("way", "", "run this proxy before -to, until standard input ends")
 	to := flag.String("to", "", "the endpoint's address")
 	profile := flag.String("profile", "", "write there where the sidecar's processor time goes, for go tool pprof")
@@ -57,6 +60,8 @@
 	var err error
 	if *way != "" {
 		err = serve(*way, *to, *core, *profile)
+	} else if *share > 0 {
+		err = squeeze(*share, *rate, *lasts, *body, *connections, *core)
 	} else {
 		err = measure(*requests, *rounds, *body, *connections, *core, *profile)
 	}
@@ -183,22 +188,11 @@
 type figures struct{ cpu, rate float64 } // microseconds a request, requests a second
 
 func measure(requests, rounds, body, connections, core int, profile string) error {
-	if err := confine(func(n int) bool { return n != core }); err != nil {
-		return err
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := endpoint(body, core)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: image/png\r\nContent-Length: %d\r\n\r\n%s", body, bytes.Repeat([]byte("."), body)))
-	go accept(l, func(c net.Conn) {
-		for r := bufio.NewReader(c); readHead(r) == nil; {
-			if _, err := c.Write(answer); err != nil {
-				return
-			}
-		}
-	})
 	all := map[string][]figures{}
 	for range rounds {
 		for _, way := range ways {
@@ -219,6 +213,56 @@
 	return w.Flush()
 }
 
+// endpoint answers on the other cores than the proxies'.
+func endpoint(body, core int) (net.Listener, error) {
+	if err := confine(func(n int) bool { return n != core }); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: image/png\r\nContent-Length: %d\r\n\r\n%s", body, bytes.Repeat([]byte("."), body)))
+	go accept(l, func(c net.Conn) {
+		for r := bufio.NewReader(c); readHead(r) == nil; {
+			if _, err := c.Write(answer); err != nil {
+				return
+			}
+		}
+	})
+	return l, nil
+}
+
+// squeeze tells delays through each, held to a share of a core.
+func squeeze(share, rate float64, lasts time.Duration, body, connections, core int) error {
+	l, err := endpoint(body, core)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	all := map[string][]time.Duration{}
+	if all["direct"], err = delays(l.Addr().String(), rate, lasts, body, connections); err != nil {
+		return fmt.Errorf("direct: %w", err)
+	}
+	for _, way := range ways {
+		p, err := run(way, l.Addr().String(), core, "")
+		if err != nil {
+			return fmt.Errorf("%s: %w", way, err)
+		}
+		stop, ended := make(chan struct{}), make(chan error, 1)
+		err = drive(p.addr, int(rate), body, connections)
+		go func() { ended <- throttle(p.Process.Pid, share, stop) }()
+		if err == nil {
+			all[way], err = delays(p.addr, rate, lasts, body, connections)
+		}
+		close(stop)
+		if err := errors.Join(err, <-ended, p.end()); err != nil {
+			return fmt.Errorf("%s: %w", way, err)
+		}
+	}
+	return showDelays(all, share, rate)
+}
+
 // readHead reads a request without a body.
 func readHead(r *bufio.Reader) error {
 	for {
@@ -242,45 +286,62 @@
 }
 
 func round(way, endpoint string, requests, body, connections, core int, profile string) (f figures, err error) {
-	self, err := os.Executable()
+	p, err := run(way, endpoint, core, profile)
 	if err != nil {
 		return f, err
 	}
+	defer func() { err = errors.Join(err, p.end()) }()
+	addr := p.addr
+	if err := drive(addr, requests/10, body, connections); err != nil {
+		return f, err
+	}
+	before, begun := used(p.Process.Pid), time.Now()
+	if err := drive(addr, requests, body, connections); err != nil {
+		return f, err
+	}
+	took := time.Since(begun)
+	return figures{(used(p.Process.Pid) - before).Seconds() * 1e6 / float64(requests), float64(requests) / took.Seconds()}, nil
+}
+
+// proxy is the process of one.
+type proxy struct {
+	*exec.Cmd
+	addr string
+	in   io.Closer
+}
+
+// end has it end by itself.
+func (p *proxy) end() error { return errors.Join(p.in.Close(), p.Wait()) }
+
+func run(way, endpoint string, core int, profile string) (*proxy, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
 	args := []string{"-way", way, "-to", endpoint, "-core", strconv.Itoa(core)}
 	if way == "sidecar" {
 		args = append(args, "-profile", profile)
 	}
-	p := exec.Command(self, args...)
-	p.Stderr = os.Stderr
-	in, err := p.StdinPipe()
+	c := exec.Command(self, args...)
+	c.Stderr = os.Stderr
+	in, err := c.StdinPipe()
 	if err != nil {
-		return f, err
+		return nil, err
 	}
-	out, err := p.StdoutPipe()
+	out, err := c.StdoutPipe()
 	if err != nil {
-		return f, err
+		return nil, err
 	}
-	if err := p.Start(); err != nil {
-		return f, err
+	if err := c.Start(); err != nil {
+		return nil, err
 	}
-	defer func() {
-		in.Close()
-		err = errors.Join(err, p.Wait())
-	}()
+	p := &proxy{c, "", in}
 	addr, err := bufio.NewReader(out).ReadString('\n')
 	if err != nil {
-		return f, err
-	}
-	addr = strings.TrimSpace(addr)
-	if err := drive(addr, requests/10, body, connections); err != nil {
-		return f, err
-	}
-	before, begun := used(p.Process.Pid), time.Now()
-	if err := drive(addr, requests, body, connections); err != nil {
-		return f, err
+		return nil, errors.Join(err, p.end())
 	}
-	took := time.Since(begun)
-	return figures{(used(p.Process.Pid) - before).Seconds() * 1e6 / float64(requests), float64(requests) / took.Seconds()}, nil
+	p.addr = strings.TrimSpace(addr)
+	return p, nil
 }
 
 // used is the processor time of a process (proc(5), stat: utime and stime, in hundredths).
@@ -327,23 +388,30 @@
 	defer c.Close()
 	r := bufio.NewReaderSize(c, 16<<10)
 	for range requests {
-		id := asked.Add(1)
-		if _, err := fmt.Fprintf(c, "GET /map-tile/3/7?user=k HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %d\r\nReq-Kind: map-tile\r\nReq-Owner: patrols\r\nReq-Deadline: 1000m\r\n\r\n", id); err != nil {
-			return err
-		}
-		line, err := r.ReadSlice('\n')
-		if err != nil {
+		if err := askOne(c, r, body); err != nil {
 			return err
 		}
-		if !bytes.HasPrefix(line, []byte("HTTP/1.1 200 ")) {
-			return fmt.Errorf("%w: %s", errAnswer, line)
-		}
-		if err := readHead(r); err != nil {
-			return err
-		}
-		if n, err := r.Discard(body); err != nil {
-			return fmt.Errorf("%w: %d bytes: %w", errAnswer, n, err)
-		}
+	}
+	return nil
+}
+
+func askOne(c net.Conn, r *bufio.Reader, body int) error {
+	id := asked.Add(1)
+	if _, err := fmt.Fprintf(c, "GET /map-tile/3/7?user=k HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %d\r\nReq-Kind: map-tile\r\nReq-Owner: patrols\r\nReq-Deadline: 1000m\r\n\r\n", id); err != nil {
+		return err
+	}
+	line, err := r.ReadSlice('\n')
+	if err != nil {
+		return err
+	}
+	if !bytes.HasPrefix(line, []byte("HTTP/1.1 200 ")) {
+		return fmt.Errorf("%w: %s", errAnswer, line)
+	}
+	if err := readHead(r); err != nil {
+		return err
+	}
+	if n, err := r.Discard(body); err != nil {
+		return fmt.Errorf("%w: %d bytes: %w", errAnswer, n, err)
 	}
 	return nil
 }
