upstream: one clock a connection, in place of two timers a request

Each attempt had a timer for its time and one for an answer that stops, with a closure each: 4 allocations, and two settings of the system's timers. Now a connection has one for all its attempts, which goes off for the earlier of the two; what puts a time off does not set it anew, so it may go off for nothing. Only where a connection has to be made is there one more.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -17,8 +17,8 @@
 func opened(t *testing.T) *Exchange {
 	t.Helper()
 	s, err := NewService(ServiceConfig{
-		Kinds: []string{"std"}, Rooms: []Room{{Bodies: budget.New(1 << 20).Join(1, nil)}}, Seed: 1, Figures: figures.New(),
-		Pool: upstream.NewPool(upstream.Shares{Slots: budget.New(4).Join(1, nil), Long: budget.New(1 << 20).Join(1, nil)}, time.Second, time.Minute),
+		Kinds: []string{"std"}, Rooms: []Room{{Bodies: budget.New(1<<20).Join(1, nil)}}, Seed: 1, Figures: figures.New(),
+		Pool: upstream.NewPool(upstream.Shares{Slots: budget.New(4).Join(1, nil), Long: budget.New(1<<20).Join(1, nil)}, time.Second, time.Minute),
 		Settings: Settings{Classes: []string{"tile"}, Policy: policy.Settings{
 			FleetSize: 1, MaxAttempts: 3, Cancel: true, ConnIdle: time.Minute,
 			Classes: []policy.Class{{Aim: time.Second, Deadline: time.Second, Worth: 1, LateWorth: 0.5}},
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -166,7 +166,6 @@
 func (p *Pool) Begin(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream Taker) (a Answer, more func() Answer) {
 	t := &try{start: time.Now(), stream: stream, req: req, end: end}
 	t.deadline = t.start.Add(timeout)
-	t.expiry = time.AfterFunc(timeout, func() { t.end.End(errTimedOut) })
 	over := false
 	defer func() { // also where it panics
 		if !over {
@@ -184,11 +183,8 @@
 	}
 }
 
-// over gives back what an attempt took.
-func (t *try) over() {
-	t.expiry.Stop()
-	t.end.End(context.Canceled)
-}
+// over has everything end that an attempt has begun.
+func (t *try) over() { t.end.End(context.Canceled) }
 
 // told fills in what every answer tells.
 func (t *try) told(a Answer) Answer {
@@ -206,9 +202,8 @@
 	end      *Ending
 	start    time.Time
 	deadline time.Time
-	expiry   *time.Timer
-	patience answerWait
-	write    write // of a short request
+	clock    *clock // of the connection that it is on
+	write    write  // of a short request
 	dialled  bool
 	uploaded atomic.Int64 // ns after start when the last byte of a Rest was written; 0: not
 }
@@ -230,16 +225,14 @@
 // the answer begins.
 func (t *try) sentAll() {
 	t.uploaded.Store(int64(time.Since(t.start)))
-	if !t.expiry.Reset(t.req.Rest.Patience) {
-		t.end.End(errTimedOut) // the time was up as the last byte went out
-	}
+	t.clock.allow(time.Now().Add(t.req.Rest.Patience)) // where the time was up as the last byte went out it has ended
 }
 
 // attempt returns how the attempt ended, or, of one whose long answer is being passed on,
 // what waits for that.
 func (p *Pool) attempt(t *try, e Endpoint) (Answer, func() Answer) {
 	for {
-		c, err := p.get(t.end, e, t.req.Once)
+		c, err := p.connect(t, e)
 		if err != nil {
 			if ownWant(err) {
 				return Answer{Result: policy.NotSent}, nil // that is not the endpoint's doing
@@ -258,10 +251,22 @@
 	}
 }
 
+// connect takes a connection that is kept, or makes one within the attempt's time.
+func (p *Pool) connect(t *try, e Endpoint) (*conn, error) {
+	if c := p.kept(e, t.req.Once); c != nil {
+		return c, nil
+	}
+	expiry := time.AfterFunc(time.Until(t.deadline), func() { t.end.End(errTimedOut) })
+	defer expiry.Stop()
+	return p.dial(t.end, e)
+}
+
 // exchange writes the request on c and reads the answer. It reports whether
 // it failed before the request's last byte was written. Where a long answer has been given
 // away passing waits until it has been passed on; it is nil otherwise.
 func (p *Pool) exchange(t *try, c *conn) (a Answer, unsent bool, passing func() Answer) {
+	t.clock = &c.clock
+	t.clock.start(t.end, t.deadline)
 	if t.req.Rest == nil {
 		t.end.At(c.cut)
 	} else {
@@ -299,6 +304,7 @@
 
 // finish ends an exchange: its connection is kept, or closed.
 func (p *Pool) finish(t *try, c *conn, w *write, a Answer, keep bool, err error) (_ Answer, unsent bool) {
+	begun := c.clock.stop()
 	keep = t.end.Release() && keep && err == nil
 	// A connection is kept only if nothing on it is unfinished and nothing that nobody
 	// asked for came along with the answer; what comes behind it is looked for before the
@@ -316,7 +322,7 @@
 		p.discard(c)
 	}
 	if err != nil {
-		if c.rest > 0 && t.patience.timer == nil && t.end.Cause() == nil { // before a byte of an answer
+		if c.rest > 0 && !begun && t.end.Cause() == nil {
 			p.broke(c)
 		}
 		return Answer{Result: failure(t.end.Cause(), w.sent), Elapsed: a.Elapsed}, !w.sent
@@ -328,7 +334,7 @@
 func give(t *try, a *Answer) error {
 	// Its client decides how long it waits for the rest. One whose time is up
 	// already, or that is called off, would be given a head and nothing more.
-	if !t.expiry.Stop() || t.end.Cause() != nil {
+	if !t.clock.allow(time.Time{}) || t.end.Cause() != nil {
 		t.end.End(errTimedOut) // of two causes the first counts
 		a.Free()
 		return errTimedOut
@@ -443,13 +449,12 @@
 	}
 }
 
-// readHead reads the head of the answer, past those of 1xx answers. begun is
-// called at its first byte.
-func (c *conn) readHead(begun func()) (framing.Answer, error) {
+// readHead reads the head of the answer, past those of 1xx answers.
+func (c *conn) readHead() (framing.Answer, error) {
 	if _, err := c.r.Peek(1); err != nil {
 		return framing.Answer{}, err
 	}
-	begun()
+	c.clock.begin()
 	for range maxInterim {
 		text, err := c.peekHead()
 		if err != nil {
@@ -498,11 +503,9 @@
 // readAnswer reads an answer: whole, or up to where its stream begins. It
 // reports whether the connection may be kept after it.
 func (c *conn) readAnswer(t *try) (a Answer, keep bool, err error) {
-	patience := &t.patience
-	*patience = answerWait{end: t.end}
-	head, err := c.readHead(patience.begin)
+	head, err := c.readHead()
 	defer func() {
-		switch inTime := patience.stop(); {
+		switch inTime := c.clock.whole(); {
 		case inTime || err != nil:
 		case a.Stream != nil:
 			a.Free()
@@ -534,7 +537,7 @@
 		return a, false, errBody
 	}
 	body := c.bodyOf(&head)
-	whole, err := readBody(&a, body, patience)
+	whole, err := readBody(&a, body, &c.clock)
 	switch {
 	case err != nil && a.Result != policy.Served:
 		return a, false, nil
@@ -553,7 +556,7 @@
 }
 
 // readBody reads a body whole, or of a long one what there is of its beginning.
-func readBody(a *Answer, body io.Reader, p *answerWait) (whole bool, err error) {
+func readBody(a *Answer, body io.Reader, k *clock) (whole bool, err error) {
 	begun, limit := time.Now(), int64(maxBody)+1
 	size := min(int64(4<<10), limit)
 	if a.Length >= 0 {
@@ -573,7 +576,7 @@
 		room := min(cap(a.Body), int(limit))
 		n, err := body.Read(a.Body[len(a.Body):room])
 		if n > 0 {
-			p.moved()
+			k.moved()
 		}
 		a.Body = a.Body[:len(a.Body)+n]
 		got := int64(len(a.Body))
@@ -589,24 +592,3 @@
 		}
 	}
 }
-
-// answerWait ends an attempt whose answer has begun and stops.
-type answerWait struct {
-	end   *Ending
-	timer *time.Timer
-}
-
-func (p *answerWait) begin() {
-	p.timer = time.AfterFunc(answerPatience, func() { p.end.End(errStopped) })
-}
-
-// moved notes that a piece has come. One that comes as the time ends does not
-// undo that: the timer's own call may still be on its way.
-func (p *answerWait) moved() {
-	if !p.timer.Reset(answerPatience) {
-		p.end.End(errStopped)
-	}
-}
-
-// stop reports whether it was in time.
-func (p *answerWait) stop() bool { return p.timer == nil || p.timer.Stop() }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,26 +89,32 @@
 	rested time.Time     // idle since; zero: new
 	rest   time.Duration // before it was used this time
 	body   body          // of the answer that is read
+	clock  clock         // of the attempt that is made
 	cut    func()        // ends what is under way on it, made once
 }
 
 var errNoSlot = errors.New("all upstream connections are in use")
 
-// get takes an idle connection to e that is still good, or makes one. once tells that
-// it is for a request that can't be sent again.
-func (p *Pool) get(ctx context.Context, e Endpoint, once bool) (*conn, error) {
+// kept takes an idle connection to e that is still good; nil: there is none. once tells
+// that it is for a request that can't be sent again.
+func (p *Pool) kept(e Endpoint, once bool) *conn {
 	for c := p.pop(e, once); c != nil; c = p.pop(e, once) {
 		// Endpoints close early, and send what nobody asked for: that would be taken for
 		// the answer to this request.
 		n, closed := peek.Peek(c.TCPConn)
 		if c.rest < p.maxIdle && n == 0 && !closed && c.r.Buffered() == 0 {
-			return c, nil
+			return c
 		}
 		if closed && n == 0 {
 			p.broke(c)
 		}
 		p.discard(c)
 	}
+	return nil
+}
+
+// dial makes a connection.
+func (p *Pool) dial(ctx context.Context, e Endpoint) (*conn, error) {
 	if err := p.reserve(ctx); err != nil {
 		return nil, err
 	}
@@ -265,6 +271,7 @@
 
 func (p *Pool) discard(c *conn) {
 	c.Close()
+	c.clock.close()
 	p.slots.Release(1)
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -301,9 +301,9 @@
 			t.Errorf("%s: it was passed on", name)
 			return false
 		})}
-		tr.expiry = time.NewTimer(long)
+		tr.clock = &clock{end: tr.end}
 		if c.cause == nil {
-			tr.expiry.Stop()
+			tr.clock.fired = true
 		} else {
 			tr.end.End(c.cause)
 		}
