http1: one reading of what waits on a connection for both its readers

The readers of plain requests and of the rest each had the rule for a process that slept through the time at which reading was to end, and two panics were logged by the same lines.

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -76,9 +76,15 @@
 
 // receive reads from the socket.
 func (c *clientConn) receive(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	return c.received(func() (int, error) { return c.TCPConn.Read(b) })
+}
+
+// received reads, and once more what waits on the connection where reading ended since
+// the process slept.
+func (c *clientConn) received(read func() (int, error)) (int, error) {
+	n, err := read()
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.overslept() {
-		n, err = c.readWaiting(b)
+		n, err = c.readWaiting(read)
 	}
 	if n > 0 {
 		c.came()
@@ -169,11 +175,11 @@
 // readWaiting reads what waits on the connection, however long the process takes
 // to get there: by a time, even a later one, the read could end again before it
 // has looked. What follows is due soon.
-func (c *clientConn) readWaiting(b []byte) (int, error) {
+func (c *clientConn) readWaiting(read func() (int, error)) (int, error) {
 	if err := c.TCPConn.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
-	n, err := c.TCPConn.Read(b)
+	n, err := read()
 	c.SetReadDeadline(front.At(front.Now() + oversleep))
 	return n, err
 }
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -54,15 +54,13 @@
 	p.look = p.read
 	handed := false
 	defer func() {
-		if r := recover(); r != nil {
-			slog.Error("panic", "in", "http1", "panic", r, "stack", string(debug.Stack()))
-		}
 		if !handed {
 			p.dropHead()
 			c.Close()
 			c.table.state(c, http.StateClosed)
 		}
 	}()
+	defer logPanic()
 	var err error
 	if p.raw, err = c.SyscallConn(); err != nil {
 		return
@@ -152,16 +150,8 @@
 
 // fill reads what there is behind c.head, once there is something.
 func (p *plain) fill() error {
-	n, err := p.receiveHead()
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && p.overslept() {
-		if err := p.TCPConn.SetReadDeadline(time.Time{}); err != nil {
-			return err
-		}
-		n, err = p.receiveHead()
-		p.SetReadDeadline(front.At(front.Now() + oversleep))
-	}
+	n, err := p.received(p.receiveHead)
 	if n > 0 {
-		p.came()
 		p.follows(p.serving.Load())
 		p.full = len(p.head)+n == cap(p.head)
 		p.head = p.head[:len(p.head)+n]
@@ -260,22 +250,27 @@
 func (p *plain) serveOne(x *core.Exchange, held []byte, last bool) {
 	kept := false
 	defer func() {
-		if r := recover(); r != nil {
-			slog.Error("panic", "in", "http1", "panic", r, "stack", string(debug.Stack()))
-			kept = false
-		}
 		p.opens(nil)
 		if !kept {
 			p.callOff()
 		}
 		p.done <- kept
 	}()
+	defer logPanic()
 	a, err := x.Do(context.Background(), held)
 	if err != nil {
 		return // nobody is there to read an answer
 	}
-	if kept = p.write(&a, last); kept {
+	if p.write(&a, last) {
 		p.rests()
+		kept = true
+	}
+}
+
+// logPanic has a panic end its connection alone.
+func logPanic() {
+	if r := recover(); r != nil {
+		slog.Error("panic", "in", "http1", "panic", r, "stack", string(debug.Stack()))
 	}
 }
 
