core: a soak of four hours of requests, which leave no call, timer or room

The soaks held the module, ids, keys, lists of endpoints and the pool under their bounds, not what a service keeps of open requests: calls, timers on the wheel, room for bodies. TestSoakOfRequests goes through 14,400 requests in virtual time, whose attempts fail and a third of whose clients leave.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"spokegw/internal/budget"
@@ -13,8 +15,8 @@
 	"spokegw/policy"
 )
 
-// opened is a request of 30 ms, by a core of one service with one endpoint that nobody is at.
-func opened(t *testing.T) *Exchange {
+// alone is a core of one service with one endpoint that nobody is at.
+func alone(t *testing.T) (*Core, *Service) {
 	t.Helper()
 	s, err := NewService(ServiceConfig{
 		Kinds: []string{"std"}, Rooms: []Room{{Bodies: budget.New(1<<20).Join(1, nil)}}, Seed: 1, Figures: figures.New(),
@@ -32,7 +34,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x, refused := New(table).Open(&Head{Method: "GET", Target: "/tile/1", Host: "b", Header: http.Header{"Req-Id": {"1"}, "Req-Deadline": {"30m"}}})
+	return New(table), s
+}
+
+// open takes the head of a request of 30 ms.
+func open(t *testing.T, c *Core, id string) *Exchange {
+	t.Helper()
+	x, refused := c.Open(&Head{Method: "GET", Target: "/tile/1", Host: "b", Header: http.Header{"Req-Id": {id}, "Req-Deadline": {"30m"}}})
 	if refused != nil {
 		t.Fatal(refused)
 	}
@@ -42,7 +50,8 @@
 // A request in whose event the module panics is answered when its time is over, and its
 // attempts, timers and room are given back.
 func TestModulePanics(t *testing.T) {
-	x := opened(t)
+	c, _ := alone(t)
+	x := open(t, c, "1")
 	x.request.Only = func(policy.Endpoint) bool { panic("in the module") }
 	if a, err := x.Do(context.Background(), nil); a.Status != http.StatusGatewayTimeout || err != nil {
 		t.Errorf("%d %v", a.Status, err)
@@ -58,7 +67,8 @@
 // A client that has left before its request is taken is owed nothing, and the module does
 // not hear of it.
 func TestLeftBefore(t *testing.T) {
-	x := opened(t)
+	c, _ := alone(t)
+	x := open(t, c, "1")
 	x.Leave()
 	if a, err := x.Do(context.Background(), nil); err != ErrGone {
 		t.Errorf("%d %v", a.Status, err)
@@ -67,3 +77,28 @@
 		t.Errorf("%d calls and %d timers are left", len(s.calls), s.timers.queue.Len())
 	}
 }
+
+// Four hours of requests, one a second, each with attempts that fail, leave no call, no
+// timer and no room behind, and the wheel has no more places than timers were set at once.
+func TestSoakOfRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, s := alone(t)
+		for i := range 4 * 3600 {
+			x := open(t, c, strconv.Itoa(i))
+			if i%3 == 0 {
+				x.Leave()
+			}
+			if a, err := x.Do(context.Background(), nil); a.Status == http.StatusOK || err != nil && err != ErrGone {
+				t.Fatalf("%d %v", a.Status, err)
+			}
+			s.mu.Lock()
+			calls, timers, places := len(s.calls), s.timers.queue.Len(), s.timers.queue.Room()
+			s.mu.Unlock()
+			if calls > 0 || timers > 0 || places > 4 || x.place.open.Load() != 0 || s.pool.Open() != 0 {
+				t.Fatalf("after %d: %d calls, %d timers in %d places, %d open, %d connections", i, calls, timers, places, x.place.open.Load(), s.pool.Open())
+			}
+			<-time.After(time.Second)
+		}
+		s.timers.alarm.Stop()
+	})
+}
