http1: a stop empties the listener's queue before it is closed

A request on a new connection was reset as a sidecar ended in order: two of 48 in one of several runs of TestRestartedWithKeysOut, which took such a reset for no loss since.

Seen: TestFinishUnderClients, 16 clients that connect all the time while 40 listeners are closed, had resets in each run. Ruled out by trying: taking from the queue until it is empty before closing (one reset in 600 is left: what comes after the last look, and handshakes that are half done, whose last segment finds nobody); a socket filter that drops SYN (EOPNOTSUPP where it was tried); a backlog of 0 (lets one in, and drops the last segment of handshakes).

At fault: drain of server.go closed the listener with whatever stood in its queue. Now the listener is bound to an interface by which nothing comes (SO_BINDTOIFINDEX): new connections are refused as they are afterwards, those half done come to their end and are taken, and then it is closed. A listener that another process has as well is only emptied.

Without it TestFinishEmptiesQueue has 50 of 50 connections reset and TestFinishUnderClients some hundreds; with it none in 20 to 40 listeners a run, beside a loaded machine. TestRestartedWithKeysOut takes any reset for a loss again, and passed four of four.

--- a/cmd/spokegw/restart_test.go
+++ b/cmd/spokegw/restart_test.go
@@ -37,12 +37,6 @@
 	}
 }
 
-func (c *cells) has(request string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.met[request]) > 0
-}
-
 // Of six sidecars four are ended and started anew, two of them killed, while requests
 // with keys are out and one endpoint of each cell is silent. Every request that a
 // sidecar had and was not killed under has one answer; none goes to a second cell, nor
@@ -119,11 +113,7 @@
 							lost++
 							mu.Unlock()
 						default:
-							// One that ends in order takes connections for 0.6 s more; what comes as
-							// it closes its listener is reset by the system, and was never read.
-							if i >= 4 || met.has(id) {
-								t.Errorf("sidecar %d, which was not killed: request %s: %v", i, id, err)
-							}
+							t.Errorf("sidecar %d, which was not killed: request %s: %v", i, id, err)
 						}
 					}
 				}
--- /dev/null
+++ b/internal/front/http1/listener_test.go
@@ -0,0 +1,109 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// open opens a listener, and greets whoever it accepts once greet is called.
+func open(t *testing.T) (l *listener, greet func()) {
+	t.Helper()
+	tcp, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = &listener{TCPListener: tcp, table: newConnTable(1<<16, 1<<16)}
+	var greeting sync.WaitGroup
+	t.Cleanup(func() { l.Close(); greeting.Wait() })
+	return l, func() {
+		greeting.Go(func() {
+			for {
+				c, err := l.accept()
+				if err != nil {
+					return
+				}
+				c.Write([]byte("hello"))
+				c.TCPConn.Close()
+			}
+		})
+	}
+}
+
+// greeted opens a connection, asks, and reads the greeting.
+func greeted(addr string) error {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	defer c.Close()
+	text, err := io.ReadAll(c)
+	if err == nil && string(text) != "hello" {
+		err = fmt.Errorf("%q in place of a greeting", text)
+	}
+	return err
+}
+
+// Clients stand in the system's queue as the listener is to be closed: each is taken.
+func TestFinishEmptiesQueue(t *testing.T) {
+	l, greet := open(t)
+	const waiting = 50
+	var clients sync.WaitGroup
+	for range waiting {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients.Go(func() {
+			defer c.Close()
+			if text, err := io.ReadAll(c); err != nil || string(text) != "hello" {
+				t.Errorf("%q, %v", text, err)
+			}
+		})
+	}
+	greet()
+	if err := l.finish(); err != nil {
+		t.Error(err)
+	}
+	clients.Wait()
+}
+
+// Clients go on connecting while listeners are closed, one after the other. Each is
+// greeted or refused: nobody has a connection that is reset.
+func TestFinishUnderClients(t *testing.T) {
+	var met, refused atomic.Int64
+	for range 20 {
+		l, greet := open(t)
+		greet()
+		var clients sync.WaitGroup
+		for range 16 {
+			clients.Go(func() {
+				for {
+					err := greeted(l.Addr().String())
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						refused.Add(1)
+						return
+					}
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					met.Add(1)
+				}
+			})
+		}
+		for from := met.Load(); met.Load() < from+200; time.Sleep(time.Millisecond) {
+		}
+		if err := l.finish(); err != nil {
+			t.Error(err)
+		}
+		clients.Wait()
+	}
+	t.Logf("%d greeted, %d refused", met.Load(), refused.Load())
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -86,6 +86,7 @@
 		}
 	}
 	s.listener = &listener{TCPListener: l, table: s.conns}
+	s.listener.shared.Store(c.Shared != nil)
 	s.rest = newRest(l.Addr())
 	return s, nil
 }
@@ -111,7 +112,10 @@
 
 // File is a copy of the listener's descriptor, for a process that takes this
 // one's place.
-func (s *Server) File() (*os.File, error) { return s.listener.File() }
+func (s *Server) File() (*os.File, error) {
+	s.listener.shared.Store(true)
+	return s.listener.File()
+}
 
 // Resize sets how many connections clients may hold, and how many of those may
 // stay before others are asked to leave with their first answer.
@@ -208,7 +212,7 @@
 	s.conns.setLeave(true)
 	s.conns.endRested(0)
 	time.Sleep(acceptAfterStop)
-	s.listener.Close()
+	s.listener.finish()
 	for {
 		s.conns.endRested(0)
 		if s.finished(asked) {
