discovery: what is written is known in time, also in pieces and after an outage

- collect (call before) set its timer anew with each entry: a list that comes in pieces without a pause was told at its end.
Now 100 ms after the first entry that waits.
TestListInSmallPieces fails without it.
- After an outage the agent was called with up to 4 s of waiting each time, so a change was known up to 3.2 s late (TestToldDuringOutage).
A watch of a pushed list now begins with a call that need not wait and is given up after 0.2 s, and waits 0.5 s at most: known within 0.35 s.
- A new process served with the list in its configuration; it asks the agent first now, for 0.2 s at most.
- A silent watch or call was known of within 6 s already where the module asks again within 3 s (TestSilenceIsNoticed); that is unchanged.

Where discovery is asked, as on this site, calls and their number stay as they were.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -199,14 +199,21 @@
 		return List{}, fmt.Errorf("discovery answered %d", resp.StatusCode)
 	}
 	silence.Reset(pieceGap)
-	body := progress{io.LimitReader(resp.Body, maxAnswer), func() { silence.Reset(pieceGap) }}
+	list, err := collect(progress{io.LimitReader(resp.Body, maxAnswer), func() { silence.Reset(pieceGap) }}, early)
+	return list, cause(ctx, err)
+}
 
+// collect reads an answer to its end, so that its connection can be used again. Entries
+// are given to early once the first of them has waited for entryGap: they are told when
+// they are written, and the rest may come as slowly as it likes, a piece at a time. A
+// gap counted from the latest entry would hold a list back that never pauses.
+func collect(body io.Reader, early func([]Entry)) (List, error) {
 	var list List
 	entries := make(chan Entry)
 	done := make(chan error, 1)
-	go func() {
+	go func() { // it ends with the body, which the caller closes or lets end
 		err := decode(body, &list, func(e Entry) { entries <- e })
-		if err == nil { // read to the end, so that the connection can be used again
+		if err == nil {
 			_, err = io.Copy(io.Discard, body)
 		}
 		close(entries)
@@ -222,10 +229,12 @@
 			if !more {
 				err := <-done
 				list.Servers = got
-				return list, cause(ctx, err)
+				return list, err
+			}
+			if told == len(got) {
+				gap.Reset(entryGap)
 			}
 			got = append(got, e)
-			gap.Reset(entryGap)
 		case <-gap.C:
 			if told < len(got) {
 				early(got[told:])
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -8,18 +8,28 @@
 	"time"
 )
 
-const (
-	// watchWait is how long a watch may be silent when nothing changes. What a
-	// watch that fell silent would have told counts as told 2 s after its
-	// wait is over, so it is short.
-	watchWait = 2 * time.Second
-	// A call that begins a watch waits in turn at discovery; one that goes on
-	// with a watch does not.
-	firstPatience = 2 * time.Second
-	nextPatience  = 500 * time.Millisecond
-	// pushedPause is between failed calls to the agent of a pushed list, which
-	// costs nothing to ask.
-	pushedPause = 250 * time.Millisecond
+// Way is how a registry is come to.
+type Way struct {
+	// wait is how long a call may be silent when nothing changes; of the first call of a
+	// watch, first. What a watch that fell silent would have told counts as told 6 s after
+	// it did, or 2 s after its wait is over, so that is short.
+	wait, first time.Duration
+	// patience is for an answer to begin after that; waits, of the first call. A call that
+	// begins a watch waits in turn at discovery; one that goes on with a watch does not.
+	patience, waits time.Duration
+	pause           time.Duration // until a watch is begun anew; 0: until the module asks
+}
+
+var (
+	// Asked is discovery that is asked by all: each call costs it work.
+	Asked = Way{wait: 2 * time.Second, first: 2 * time.Second, patience: 500 * time.Millisecond, waits: 2 * time.Second}
+	// Remote is a registry of an installation's own, which nobody counts calls at.
+	Remote = Way{wait: 2 * time.Second, first: 2 * time.Second, patience: 500 * time.Millisecond, waits: 2 * time.Second, pause: 250 * time.Millisecond}
+	// Pushed is an agent on this machine, which answers at once and costs nothing. What it
+	// has counts as told whether or not it was asked, also right after an outage. So a
+	// silence is noticed soon, and a watch begins with a call that need not wait: no answer
+	// then tells that the agent is silent, and not that there is nothing new.
+	Pushed = Way{wait: 500 * time.Millisecond, first: time.Millisecond, patience: 200 * time.Millisecond, waits: 200 * time.Millisecond, pause: 100 * time.Millisecond}
 )
 
 // Members is told what discovery says of the endpoints.
@@ -36,6 +46,9 @@
 	version atomic.Int64 // set by Run alone, once it runs
 	known   bool         // version is that of a list
 	failing bool
+	way     Way
+	called  chan struct{} // closed when the first call has ended
+	ended   bool          // it is closed
 
 	asked  chan struct{}
 	moved  chan string // discovery's new address; holds the latest
@@ -47,7 +60,7 @@
 // then, which costs the registry a fraction of the whole.
 func NewWatcher(addr string, version int64, known bool, m Members) *Watcher {
 	w := &Watcher{
-		client: NewClient(addr), members: m, known: known,
+		client: NewClient(addr), members: m, known: known, called: make(chan struct{}),
 		asked: make(chan struct{}, 1), moved: make(chan string, 1), learnt: make(chan int64, 1),
 	}
 	w.version.Store(version)
@@ -86,9 +99,13 @@
 	w.moved <- addr
 }
 
-// Run watches until ctx ends. Where lists are pushed nobody has to ask.
-func (w *Watcher) Run(ctx context.Context, pushed bool) {
-	if pushed {
+// Called is closed once the first call has ended, with an answer or without.
+func (w *Watcher) Called() <-chan struct{} { return w.called }
+
+// Run watches until ctx ends. Discovery that all ask waits to be subscribed to.
+func (w *Watcher) Run(ctx context.Context, way Way) {
+	w.way = way
+	if way.pause > 0 {
 		w.Subscribe()
 	}
 	for {
@@ -106,12 +123,13 @@
 		for addr := w.watchUntilMoved(ctx); addr != ""; addr = w.watchUntilMoved(ctx) {
 			w.move(addr)
 		}
+		w.hasCalled()
 		if ctx.Err() != nil {
 			return
 		}
 		w.members.DiscoveryFailed()
-		if pushed {
-			time.AfterFunc(pushedPause, w.Subscribe)
+		if way.pause > 0 {
+			time.AfterFunc(way.pause, w.Subscribe)
 		}
 	}
 }
@@ -161,18 +179,8 @@
 			slog.Error("panic", "in", "watch", "panic", p, "stack", string(debug.Stack()))
 		}
 	}()
-	patience := firstPatience
-	for {
-		var list List
-		var err error
-		begun := time.Now()
-		early := func(e []Entry) { w.members.List(e, false) }
-		if w.known {
-			list, err = w.client.Watch(ctx, w.version.Load(), watchWait, patience, early)
-		} else {
-			list, err = w.client.Get(ctx, watchWait+patience, early)
-		}
-		slog.Debug("discovery call", "since", w.since(), "first", patience == firstPatience, "took", time.Since(begun), "full", list.Full, "entries", len(list.Servers), "error", err)
+	for first := true; ; first = false {
+		list, err := w.call(ctx, first)
 		if err != nil {
 			if !w.failing && ctx.Err() == nil {
 				slog.Warn("discovery fails", "error", err)
@@ -190,11 +198,36 @@
 			w.failing = false
 			slog.Info("discovery answers")
 		}
-		if list.Full || len(list.Servers) > 0 || patience == firstPatience {
+		if list.Full || len(list.Servers) > 0 || first {
 			w.members.List(list.Servers, list.Full)
 		}
 		w.version.Store(list.Version)
 		w.known = true
-		patience = nextPatience
+		w.hasCalled()
+	}
+}
+
+// call makes the first call of a watch, or the next.
+func (w *Watcher) call(ctx context.Context, first bool) (list List, err error) {
+	wait, patience := w.way.wait, w.way.patience
+	if first {
+		wait, patience = w.way.first, w.way.waits
+	}
+	begun := time.Now()
+	early := func(e []Entry) { w.members.List(e, false) }
+	if w.known {
+		list, err = w.client.Watch(ctx, w.version.Load(), wait, patience, early)
+	} else {
+		list, err = w.client.Get(ctx, wait+patience, early)
+	}
+	slog.Debug("discovery call", "since", w.since(), "first", first, "took", time.Since(begun), "full", list.Full, "entries", len(list.Servers), "error", err)
+	return list, err
+}
+
+// hasCalled notes that a call has ended.
+func (w *Watcher) hasCalled() {
+	if !w.ended {
+		w.ended = true
+		close(w.called)
 	}
 }
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -29,7 +29,7 @@
 	pool       *upstream.Pool
 	watcher    *discovery.Watcher // nil: the endpoints stand in the file
 	known      []discovery.Entry  // that it begins with
-	asks       bool               // the watch waits until the module wants it
+	way        discovery.Way      // to its registry
 	parts      []*budget.Part
 	watches    *budget.Part // holds the descriptor of a registry's watch; nil: it has none of its own
 	started    bool
@@ -111,7 +111,10 @@
 		if handed, ok := s.upgrade.known(r.of); ok && (s.upgrade.predecessor != nil || handed.Version >= list.Version) {
 			list, known = handed, handed.Version > 0 // of what was kept on a disk, the configuration may know better
 		}
-		r.known, r.asks = list.Servers, s.config.Settings.Policy.OnRequest
+		r.known, r.way = list.Servers, discovery.Pushed
+		if s.config.Settings.Policy.OnRequest {
+			r.way = discovery.Asked
+		}
 		r.watcher = discovery.NewWatcher(s.config.Discovery, list.Version, known, r)
 	case d.Registry != "":
 		if !shares.Slots.TryAcquire(1) && !(shares.Slots.Reclaim() && shares.Slots.TryAcquire(1)) {
@@ -120,7 +123,7 @@
 		}
 		r.watches = shares.Slots
 		list, _ := s.upgrade.known(r.of)
-		r.known = list.Servers
+		r.known, r.way = list.Servers, discovery.Remote
 		r.watcher = discovery.NewWatcher(d.Registry, list.Version, list.Version > 0, r)
 	default:
 		r.known = entries(d.Endpoints)
@@ -212,7 +215,20 @@
 	ctx, r.stop = context.WithCancel(ctx)
 	r.service.List(r.known, true)
 	if r.watcher != nil {
-		go r.watcher.Run(ctx, !r.asks)
+		go r.watcher.Run(ctx, r.way)
+	}
+}
+
+// hear waits until an agent that lists are pushed to has been asked, or ctx ends: what it
+// has counts as told from the first moment of this process, whose own list may be old. The
+// agent answers at once or is silent, so this takes Pushed's patience at most.
+func (r *running) hear(ctx context.Context) {
+	if r.watcher == nil || r.way != discovery.Pushed {
+		return
+	}
+	select {
+	case <-r.watcher.Called():
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -360,6 +360,9 @@
 	if c := s.listenConsole(); s.begun != nil {
 		running.Go(func() { s.serveConsole(watching, c) })
 	}
+	for _, r := range s.running() {
+		r.hear(ctx)
+	}
 	s.serving.Store(true)
 	slog.Info("ready", "name", s.config.Name, "listen", s.Addr().String(), "endpoints", len(s.config.Known.Servers))
 	return s.serve(ctx)
