--- a/bench/beside/main.go
+++ b/bench/beside/main.go
@@ -1,12 +1,9 @@
-// Command beside measures an ordinary request through the sidecar beside other proxies:
-// net/http/httputil.ReverseProxy, one of twenty lines on github.com/valyala/fasthttp, and
-// a splice that parses nothing. Each runs in a process of its own on one core, in turn;
+// Command beside measures an ordinary request through the sidecar beside baselines:
+// net/http/httputil.ReverseProxy, and a splice that parses nothing. Each runs in a process of its own on one core, in turn;
 // clients and the endpoint are on the others. It prints medians of the processor time a
 // request and of the rate, and their ratios to the sidecar's.
 //
-//	cd bench/beside && go run . [-requests 20000] [-rounds 5] [-body 4096] [-connections 16] [-core 0]
-//
-// It is a module of its own, so that fasthttp is no dependency of the sidecar.
+//	go run ./bench/beside [-requests 20000] [-rounds 5] [-body 4096] [-connections 16] [-core 0]
 package main
 
 import (
@@ -34,7 +31,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
 	"spokegw/internal/discovery"
@@ -42,7 +38,7 @@
 	"spokegw/internal/sidecar"
 )
 
-var ways = []string{"sidecar", "ReverseProxy", "fasthttp", "splice"}
+var ways = []string{"sidecar", "ReverseProxy", "splice"}
 
 func main() {
 	requests := flag.Int("requests", 20000, "in each round, after a tenth of it to warm up")
@@ -116,15 +112,6 @@
 		p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
 		p.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
 		go http.Serve(l, p)
-	case "fasthttp":
-		upstream := &fasthttp.HostClient{Addr: to}
-		go fasthttp.Serve(l, func(c *fasthttp.RequestCtx) {
-			c.Request.Header.Del("Connection")
-			if err := upstream.Do(&c.Request, &c.Response); err != nil {
-				c.Error("bad gateway", fasthttp.StatusBadGateway)
-			}
-			c.Response.Header.Del("Connection")
-		})
 	case "splice":
 		go accept(l, func(client net.Conn) {
 			server, err := net.Dial("tcp", to)
