--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -35,6 +35,7 @@
 	Rate    float64 // requests a second, sustained; 0: no limit
 	Burst   float64 // requests that may come at once; at least 1 where there is a rate
 	Work    float64 // seconds of endpoint work a second, sustained; 0: no limit
+	Shared  bool    // the limits are of many processes together, and this one has what SetPart says
 }
 
 // Contract is between one team and the service.
@@ -106,6 +107,7 @@
 type call struct {
 	Call
 	requests, work gcra
+	part           part
 }
 
 // Ticket stands for an admitted request.
@@ -171,7 +173,7 @@
 		calls[i].Call = c.Calls[i]
 		rate += c.Calls[i].Rate
 		if before := a.find(firstClass(c.Calls[i].Classes)); before != nil {
-			calls[i].requests, calls[i].work = before.requests, before.work
+			calls[i].requests, calls[i].work, calls[i].part = before.requests, before.work, before.part
 		}
 	}
 	a.calls, a.most = calls, math.Max(retryBurst, retrySeconds*rate)
@@ -247,6 +249,12 @@
 		return Ticket{}, Verdict{Kind: NotAllowed}
 	}
 	work := b.charge(class, hint)
+	if c.Shared {
+		c.ask(work)
+		if !c.settle(b.now) {
+			return Ticket{}, Verdict{Kind: OverRate, After: noPartWait}
+		}
+	}
 	requests, perWork := c.requestLimit(), c.workLimit()
 	if wait := max(c.requests.wait(b.now, requests, 1), c.work.wait(b.now, perWork, work)); wait > 0 {
 		return Ticket{}, Verdict{Kind: OverRate, After: wait}
@@ -272,8 +280,8 @@
 	return b.shares.wait(&a.share, b.capacity.rate())
 }
 
-func (c *call) requestLimit() limit { return newLimit(c.Rate, c.Burst) }
-func (c *call) workLimit() limit    { return newLimit(c.Work, c.Work*workBurst.Seconds()) }
+func (c *call) requestLimit() limit { return c.requestsOf(c.fraction()) }
+func (c *call) workLimit() limit    { return c.workOf(c.fraction()) }
 
 // charge is the work that a request is charged, and learns from its hint.
 func (b *Broker) charge(class int, hint float64) float64 {
--- a/internal/broker/gcra.go
+++ b/internal/broker/gcra.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// rescale takes a schedule from one limit over to another. The units that may come at
+// once stay, as far as the other limit lets so many be saved up, and so does what is owed.
+func (g *gcra) rescale(now time.Duration, from, to limit) {
+	if from.per == 0 || to.per == 0 {
+		return
+	}
+	ahead := float64(max(g.next-now, 0))
+	saved := (float64(from.slack) - ahead) / float64(from.per) // under 0: owed
+	most := float64(to.slack) / float64(to.per)
+	g.next = now + to.of(most-math.Min(saved, most))
+}
+
 func (l limit) of(n float64) time.Duration {
 	return time.Duration(math.Min(n*float64(l.per), float64(math.MaxInt64/8)))
 }
--- a/internal/core/contracts.go
+++ b/internal/core/contracts.go
@@ -41,6 +41,29 @@
 	return refused
 }
 
+// SetPart sets which part of a team's shared call this process may use, and Asked tells
+// what was asked for of it (broker.Broker). left is how long the grant lasts yet, by
+// another clock; it is asked after this one's, so that a process that stands still
+// between the two has less of it and not more.
+func (s *Service) SetPart(team string, class int, own, grant float64, left func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broker != nil {
+		now := s.now()
+		s.broker.SetPart(now, team, class, own, grant, now+left())
+	}
+}
+
+// Asked is what was asked for of a team's shared call, in limits times seconds.
+func (s *Service) Asked(team string, class int) (requests, work float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broker == nil {
+		return 0, 0
+	}
+	return s.broker.Asked(team, class)
+}
+
 // placeRetry is when to come back to a service that holds all the requests it
 // may: they end with their deadlines, or before.
 const placeRetry = 250 * time.Millisecond
--- /dev/null
+++ b/internal/fleet/message/message_test.go
@@ -0,0 +1,91 @@
+package message
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"spokegw/internal/fleet/quota"
+)
+
+var examples = []Message{
+	{Contract: "maps/bijela-kosa", Report: &quota.Report{From: "g1", Incarnation: 7, Seq: 3, To: "g2", ToIncarnation: 9, Heard: 2, Demand: quota.Whole, Cede: 5}},
+	{Contract: "c", Report: &quota.Report{From: "g1", Incarnation: 1 << 63, Seq: 1, To: "g1"}},
+	{Contract: "c", Reply: &quota.Reply{From: "g2", Incarnation: 9, Seq: 1 << 40, To: "g1", ToIncarnation: 7, Heard: 3, Grant: 4, For: time.Second, Ask: 5, Relied: 6}},
+	{Contract: "c", Reply: &quota.Reply{From: "g2", Incarnation: 9, To: "g1", ToIncarnation: 7, Known: 8}},
+}
+
+func TestRoundTrip(t *testing.T) {
+	for _, m := range examples {
+		b, err := Append(nil, m)
+		if err != nil || len(b) > 200 {
+			t.Fatal(len(b), err)
+		}
+		if got, err := Parse(b); err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%+v became %+v, %v", m, got, err)
+		}
+	}
+}
+
+// A later program may add fields, which are left out; another version is told apart.
+func TestLaterProgram(t *testing.T) {
+	b, _ := Append(nil, examples[0])
+	var fields map[int]any
+	if err := cbor.Unmarshal(b[1:], &fields); err != nil {
+		t.Fatal(err)
+	}
+	fields[40] = "more"
+	more, _ := cbor.Marshal(fields)
+	if got, err := Parse(append([]byte{Version}, more...)); err != nil || !reflect.DeepEqual(got, examples[0]) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := Parse(append([]byte{Version + 1}, b[1:]...)); !errors.Is(err, ErrVersion) {
+		t.Errorf("of another version: %v", err)
+	}
+}
+
+// What is impossible is turned down, whoever made it up.
+func TestBounds(t *testing.T) {
+	for name, change := range map[string]func(*body){
+		"no contract":          func(w *body) { w.Contract = "" },
+		"a long name":          func(w *body) { w.From = string(bytes.Repeat([]byte("x"), MaxName+1)) },
+		"a part under 0":       func(w *body) { w.Cede = -1 },
+		"a part over all":      func(w *body) { w.Demand = quota.Whole + 1 },
+		"no kind":              func(w *body) { w.Kind = 0 },
+		"an unknown kind":      func(w *body) { w.Kind = 3 },
+		"a time under 0":       func(w *body) { w.For = -1 },
+		"a time over a minute": func(w *body) { w.For = time.Minute + 1 },
+		"no incarnation":       func(w *body) { w.Incarnation = 0 },
+	} {
+		w := body{Contract: "c", Kind: report, From: "g1", Incarnation: 1, Seq: 1, To: "g2"}
+		change(&w)
+		text, _ := cbor.Marshal(&w)
+		if m, err := Parse(append([]byte{Version}, text...)); err == nil || errors.Is(err, ErrVersion) {
+			t.Errorf("%s: %+v, %v", name, m, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, m := range examples {
+		b, _ := Append(nil, m)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Parse(b)
+		if err != nil {
+			return
+		}
+		again, err := Append(nil, m)
+		if err != nil {
+			t.Fatalf("%+v was read and can't be written: %v", m, err)
+		}
+		if got, err := Parse(again); err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%+v became %+v, %v", m, got, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/rank/rank_test.go
@@ -0,0 +1,30 @@
+package rank
+
+import "testing"
+
+func TestOrder(t *testing.T) {
+	Check()
+	low, high, other := &Mutex{Rank: 1, Name: "low"}, &Mutex{Rank: 2, Name: "high"}, &Mutex{Rank: 2, Name: "other"}
+	takes := func(all ...*Mutex) (wrong bool) {
+		defer func() { wrong = recover() != nil }()
+		for _, m := range all {
+			m.Lock()
+			defer m.Unlock()
+		}
+		return false
+	}
+	for _, c := range []struct {
+		name  string
+		locks []*Mutex
+		wrong bool
+	}{
+		{"rising", []*Mutex{low, high}, false},
+		{"falling", []*Mutex{high, low}, true},
+		{"two of one rank", []*Mutex{high, other}, true},
+		{"one alone", []*Mutex{low}, false}, // nothing is left of those before
+	} {
+		if got := takes(c.locks...); got != c.wrong {
+			t.Errorf("%s: found wrong %t", c.name, got)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -56,6 +56,7 @@
 	Keys      Keys               // how keyed requests come to the disk of State
 	State     string             // folder on a lasting disk; "": there is none
 	Overload  *overload.Settings // of the brake for the sidecar's own processor; nil: off
+	Fleet     *Fleet             // nil: this process decides alone
 
 	reader *reader // for faults that show later
 	text   []byte
@@ -130,6 +131,7 @@
 	Rate    float64  // requests a second; 0: no limit
 	Burst   float64
 	Work    float64 // seconds of endpoint work a second; 0: no limit
+	Shared  bool    // the limits are the whole fleet's
 
 	key string
 }
@@ -237,6 +239,7 @@
 	if t := root.table("overload"); t != nil {
 		f.Overload = readOverload(t)
 	}
+	f.Fleet = readFleet(root.table("fleet"))
 	for _, t := range root.tables("move", maxMoves) {
 		f.Moves = append(f.Moves, readMove(t))
 	}
@@ -244,6 +247,7 @@
 	f.checkServices()
 	f.checkTeams()
 	f.checkMoves()
+	f.checkQuotas()
 	return f, f.err()
 }
 
@@ -405,6 +409,9 @@
 	if t.has("burst") && !t.has("rate") {
 		t.fault("burst", "a burst is expected with a rate only")
 	}
+	if a.Shared = t.oneOf("quota", "process", "process", "fleet") == "fleet"; a.Shared && !t.has("rate") && !t.has("work") {
+		t.fault("quota", "a rate or work is expected beside it, which the fleet shares")
+	}
 	if a.Service == "" {
 		t.fault("service", "the name of a service is expected")
 	}
@@ -641,7 +648,7 @@
 		c := broker.Contract{Team: f.Teams[i].Name, Share: f.Teams[i].Share}
 		for _, a := range f.Teams[i].Allow {
 			if a.Service == service {
-				c.Calls = append(c.Calls, broker.Call{Classes: a.set(classes), Rate: a.Rate, Burst: a.Burst, Work: a.Work})
+				c.Calls = append(c.Calls, broker.Call{Classes: a.set(classes), Rate: a.Rate, Burst: a.Burst, Work: a.Work, Shared: a.Shared})
 			}
 		}
 		if len(c.Calls) > 0 {
--- /dev/null
+++ b/internal/sidecar/fleet.go
@@ -0,0 +1,164 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"spokegw/internal/core"
+	"spokegw/internal/fleet"
+	"spokegw/internal/fleet/quota"
+	"spokegw/internal/operator"
+)
+
+// shared are this process's place in a fleet, and what draws on its quotas.
+type shared struct {
+	fleet    atomic.Pointer[fleet.Fleet] // nil: it does not take part yet
+	config   fleet.Config
+	accounts []*account
+}
+
+// account is a call of a team's that draws on a quota. It is a fleet.Account.
+type account struct {
+	quota   operator.Quota
+	service atomic.Pointer[core.Service] // a reload may bring another
+}
+
+// class is the position of the call's class; -1: settings in force have none of its name.
+func (a *account) class(s *core.Service) int {
+	if a.quota.Class == "" {
+		return 0
+	}
+	return slices.Index(s.Names(), a.quota.Class)
+}
+
+// Asked is what was asked for so far.
+func (a *account) Asked() (requests, work float64) {
+	s := a.service.Load()
+	return s.Asked(a.quota.Team, a.class(s))
+}
+
+// SetLimit puts a limit in force.
+func (a *account) SetLimit(l quota.Limit, left func() time.Duration) {
+	s := a.service.Load()
+	s.SetPart(a.quota.Team, a.class(s), l.Own.Fraction(), l.Grant.Fraction(), left)
+}
+
+// joinFleet makes the place in the fleet; nil where there is none. Its address is opened
+// once the process before this one, which has it, has ended: until then, and for a lease
+// after that, what the fleet shares is refused but for the floor.
+func (s *Sidecar) joinFleet() error {
+	if s.config.Operator == nil || s.config.Operator.Fleet == nil {
+		return nil
+	}
+	o := s.config.Operator.Fleet
+	sh := &shared{config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: map[string]string{}, Settings: o.Settings}}
+	for _, g := range o.Gateways {
+		sh.config.Addresses[g.Name] = g.Address
+	}
+	for _, q := range s.config.Operator.Quotas() {
+		a := &account{quota: q}
+		sh.accounts = append(sh.accounts, a)
+		sh.config.Contracts = append(sh.config.Contracts, fleet.Contract{Name: q.Name(), Account: a})
+	}
+	s.shared = sh
+	s.useShared(s.services)
+	if s.upgrade.predecessor != nil {
+		return nil
+	}
+	return s.openFleet()
+}
+
+func (s *Sidecar) openFleet() error {
+	f, err := fleet.New(s.shared.config)
+	if err != nil {
+		return err
+	}
+	f.Start()
+	s.shared.fleet.Store(f)
+	return nil
+}
+
+// useShared has the accounts draw on the services that are in force.
+func (s *Sidecar) useShared(services []*running) {
+	if s.shared == nil {
+		return
+	}
+	for _, a := range s.shared.accounts {
+		for _, r := range services {
+			if r.definition.Name == a.quota.Service {
+				a.service.Store(r.service)
+			}
+		}
+	}
+}
+
+// serveFleet takes part in the fleet until ctx ends.
+func (s *Sidecar) serveFleet(ctx context.Context) {
+	if s.shared == nil {
+		return
+	}
+	if s.shared.fleet.Load() == nil {
+		if err := s.afterPredecessor(ctx, s.openFleet); err != nil {
+			slog.Error("no part in the fleet: its address is not free", "error", err)
+		}
+	}
+	if f := s.shared.fleet.Load(); f != nil {
+		if err := f.Run(ctx); err != nil {
+			slog.Warn("fleet: left", "error", err)
+		}
+	}
+}
+
+// AddrFleet is where the fleet's messages come to; "": nowhere.
+func (s *Sidecar) AddrFleet() string {
+	if s.shared == nil || s.shared.fleet.Load() == nil {
+		return ""
+	}
+	return s.shared.fleet.Load().Addr()
+}
+
+// checkShared tells what of the fleet a reload would change.
+func (s *Sidecar) checkShared(f *operator.File) error {
+	if !sameFleet(f.Fleet, s.config.Operator.Fleet) {
+		return fmt.Errorf("fleet: its settings can't be changed while the sidecar runs")
+	}
+	if !slices.Equal(f.Quotas(), s.config.Operator.Quotas()) {
+		return fmt.Errorf("quota: which calls share limits with the fleet can't be changed while the sidecar runs")
+	}
+	return nil
+}
+
+func sameFleet(a, b *operator.Fleet) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name && a.Listen == b.Listen && slices.Equal(a.Key, b.Key) && a.Settings == b.Settings &&
+		slices.Equal(a.Gateways, b.Gateways) && slices.EqualFunc(a.Partners, b.Partners, func(x, y operator.Partner) bool { return x.Name == y.Name && x.Part == y.Part })
+}
+
+// fleetFigures are figures of the fleet, for show-stat: parts are in thousandths of a quota.
+func (s *Sidecar) fleetFigures() string {
+	if s.shared == nil || s.shared.fleet.Load() == nil {
+		return ""
+	}
+	f := s.shared.fleet.Load()
+	status, counts := f.Status(), f.Counts()
+	var b strings.Builder
+	fmt.Fprintf(&b, "node.fleet.up:%d|g\nnode.fleet.messages_dropped:%d|c\nnode.fleet.messages_broken:%d|c\nnode.fleet.messages_other_version:%d|c\n",
+		len(status.Up)+1, counts.Dropped, counts.Broken, counts.OtherVersion)
+	for _, c := range s.shared.config.Contracts {
+		st := status.Contracts[c.Name]
+		for _, v := range []struct {
+			name string
+			part quota.Part
+		}{{"own", st.Own}, {"granted", st.Grant}, {"demand", st.Demand}} {
+			fmt.Fprintf(&b, "node.fleet.quota.%s.%s:%.0f|g\n", word(c.Name), v.name, 1000*v.part.Fraction())
+		}
+	}
+	return b.String()
+}
--- a/internal/sidecar/management.go
+++ b/internal/sidecar/management.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Sidecar) showStat([]string) (string, error) {
-	return s.figures.Report(s.members()) + management.End, nil
+	return s.figures.Report(s.members()) + s.fleetFigures() + management.End, nil
 }
 
 // each calls do for every service.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -80,6 +80,8 @@
 	serving    atomic.Bool
 	drained    atomic.Bool // by an operator
 
+	shared *shared // nil: this process decides alone
+
 	retake    chan struct{}   // the console is to take its path again
 	reload    func() Reloaded // reads the files again; nil: nothing can
 	reloading sync.Mutex
@@ -157,7 +159,10 @@
 			return err
 		}
 	}
-	return s.listenManagement()
+	if err := s.listenManagement(); err != nil {
+		return err
+	}
+	return s.joinFleet()
 }
 
 // listenMetrics opens the address that tells the figures to Prometheus; nil where
@@ -354,6 +359,7 @@
 		running.Go(func() { s.management.Serve(watching) })
 	}
 	running.Go(func() { s.serveMetrics(watching) })
+	running.Go(func() { s.serveFleet(watching) })
 	s.upgrade.run(watching, &running)
 	s.keep()
 	defer s.keepNoMore()
@@ -415,6 +421,9 @@
 	if !reflect.DeepEqual(f.Overload, s.config.Operator.Overload) {
 		return fmt.Errorf("overload: its settings can't be changed while the sidecar runs")
 	}
+	if err := s.checkShared(f); err != nil {
+		return err
+	}
 	if f.HTTP1 != s.config.Operator.HTTP1 {
 		return fmt.Errorf("http1: its settings can't be changed while the sidecar runs")
 	}
@@ -446,6 +455,7 @@
 		}
 	}
 	s.core.UseTerms(table, terms)
+	s.useShared(services)
 	for _, r := range old {
 		if !holds(services, r) {
 			r.retire()
