lab: several sidecars as processes over links that fail, and a quota over them

TestQuotaOverProcesses: five processes of three partners over 20 links, which are cut in two and healed, lose 30% and delay by up to 600 ms, while each process stands still in turn, one is killed, and all are killed and started at once.

--- /dev/null
+++ b/cmd/spokegw/fleet_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"spokegw/internal/lab/federation"
+	"spokegw/internal/lab/links"
+)
+
+// Five processes of three partners share one quota while links are cut, lose and delay,
+// and processes are killed, paused and started anew. In no span do all together let out
+// more than the quota; what is connected uses it; nothing runs twice, and each request
+// has its answer but where its process was killed or stood still.
+func TestQuotaOverProcesses(t *testing.T) {
+	const quota = 300.0
+	f, err := federation.Start(federation.Config{
+		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Partners: []int{2, 2, 1}, Parts: []float64{0.4, 0.4, 0.2},
+		Rate: quota, Burst: 30, Lease: time.Second, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	clients.Go(func() { f.Ask(ctx) })
+	defer clients.Wait()
+	defer stop()
+
+	// used is the part of the quota that is used over a time.
+	used := func(d time.Duration) float64 {
+		from := time.Now()
+		<-time.After(d)
+		return float64(f.Ran(from)) / (quota * time.Since(from).Seconds())
+	}
+	// becomes waits until as much is used as there should be.
+	becomes := func(what string, part float64) {
+		t.Helper()
+		best := 0.0
+		for until := time.Now().Add(15 * time.Second); time.Now().Before(until); {
+			if best = max(best, used(time.Second)); best >= part {
+				t.Logf("%s: %.2f of the quota", what, best)
+				return
+			}
+		}
+		t.Errorf("%s: %.2f of the quota is used at most, %.2f is expected", what, best, part)
+	}
+
+	f.Demand(600, 0)
+	becomes("all the demand at one", 0.9)
+	f.Demand(300)
+	becomes("all want more than there is", 0.9)
+
+	for _, a := range []int{0, 1} { // two of one side, three of the other
+		for _, b := range []int{2, 3, 4} {
+			f.Set(a, b, true, links.Fault{Cut: true})
+		}
+	}
+	used(3 * time.Second)
+	f.Demand(600, 0)
+	becomes("cut in two, the demand on the side that owns 0.4", 0.36)
+	if u := used(time.Second); u > 0.5 {
+		t.Errorf("a side that owns 0.4 used %.2f", u)
+	}
+	f.Heal()
+	becomes("healed", 0.9)
+
+	for _, g := range f.Gateways { // whoever is steward is among them
+		g.Process().Signal(syscall.SIGSTOP)
+		<-time.After(700 * time.Millisecond)
+		g.Process().Signal(syscall.SIGCONT)
+	}
+	f.Demand(200)
+	for i := range f.Gateways {
+		for j := range f.Gateways {
+			if i != j && (i+j)%2 == 0 {
+				f.Set(i, j, false, links.Fault{Drop: 0.3, Delay: 200 * time.Millisecond, Jitter: 400 * time.Millisecond, Duplicate: 0.2})
+			}
+		}
+	}
+	f.Gateways[1].Kill()
+	if err := f.Gateways[1].Start(); err != nil {
+		t.Fatal(err)
+	}
+	used(2 * time.Second)
+	f.Heal()
+	f.Demand(500, 0)
+	for _, g := range f.Gateways { // all at once
+		g.Kill()
+	}
+	for _, g := range f.Gateways {
+		if err := g.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	becomes("after all were started anew", 0.9)
+	stop()
+	clients.Wait()
+
+	tally := f.Tally()
+	t.Logf("%+v", tally)
+	if over, span := f.Overshoot(); over > 0 {
+		t.Errorf("%.0f more than the quota in %v", over, span)
+	}
+	if n := f.Repeated(); n > 0 {
+		t.Errorf("%d keys ran twice", n)
+	}
+	if tally.Failed > 0 || tally.Other > tally.Asked/100 {
+		t.Errorf("%d of %d had no answer, %d an unexpected one", tally.Failed, tally.Asked, tally.Other)
+	}
+}
--- /dev/null
+++ b/internal/lab/federation/federation.go
@@ -0,0 +1,459 @@
+// Package federation runs several sidecars as processes of their own, which share quotas
+// over links that fail, and counts at the endpoints what all of them together let out.
+package federation
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"spokegw/internal/lab"
+	"spokegw/internal/lab/links"
+	"spokegw/internal/lab/process"
+	"spokegw/internal/lab/scene"
+)
+
+// Config is what a federation is made of.
+type Config struct {
+	Program  string
+	Env      []string // further variables of the processes' environment
+	Dir      string   // a folder of its own
+	Partners []int    // gateways of each
+	Parts    []float64
+	Rate     float64 // of the one quota, requests a second over all gateways
+	Burst    float64
+	Lease    time.Duration
+	Alone    bool // no fleet: each gateway holds its even part for itself
+	Seed     uint64
+	Log      io.Writer // of the processes; nil: nowhere
+}
+
+// Team is the one with the quota.
+const Team = "agencies"
+
+// Federation is one that runs.
+type Federation struct {
+	Config
+	Gateways  []*Gateway
+	links     [][]*links.Link // from, to
+	endpoints []*lab.Endpoint
+	registry  *lab.Registry
+	begun     time.Time
+
+	mu   sync.Mutex
+	ran  []time.Duration // requests at the endpoints, since begun
+	keys map[string]int  // how often each was met
+}
+
+// Gateway is one of its processes.
+type Gateway struct {
+	Number  int
+	Name    string
+	Partner int
+	of      *Federation
+	dir     string
+	listen  string
+	fleet   string
+
+	mu      sync.Mutex
+	process *process.Process
+	stopped bool // it was killed or is paused, and clients may lose what it had
+
+	demand atomic.Int64 // requests a second that clients ask for
+	asked  atomic.Int64
+	served atomic.Int64
+	over   atomic.Int64 // refused by the quota
+	other  atomic.Int64 // any other answer
+	failed atomic.Int64 // no answer, and the process was neither killed nor paused
+	lost   atomic.Int64 // no answer, of one that was
+}
+
+// Start starts a federation, and waits until each process serves.
+func Start(c Config) (f *Federation, err error) {
+	f = &Federation{Config: c, begun: time.Now(), keys: map[string]int{}}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	for range 2 {
+		e, err := lab.StartEndpoint(lab.EndpointConfig{Workers: 2000, Work: time.Millisecond, Body: 10, Seen: f.met})
+		if err != nil {
+			return nil, err
+		}
+		f.endpoints = append(f.endpoints, e)
+	}
+	if f.registry, err = lab.StartRegistry(scene.Entries(f.endpoints...), nil); err != nil {
+		return nil, err
+	}
+	for partner, n := range c.Partners {
+		for range n {
+			if err := f.add(partner); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if err := f.link(); err != nil {
+		return nil, err
+	}
+	for _, g := range f.Gateways {
+		if err := g.configure(); err != nil {
+			return nil, err
+		}
+		if err := g.Start(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Federation) add(partner int) error {
+	g := &Gateway{Number: len(f.Gateways), Partner: partner, of: f}
+	g.Name = fmt.Sprint("g", g.Number)
+	g.dir = filepath.Join(f.Dir, g.Name)
+	var err error
+	if g.listen, err = process.FreeAddr(); err == nil {
+		g.fleet, err = process.FreeAddr()
+	}
+	if err != nil {
+		return err
+	}
+	f.Gateways = append(f.Gateways, g)
+	return os.MkdirAll(g.dir, 0o700)
+}
+
+func (f *Federation) link() error {
+	for i := range f.Gateways {
+		row := make([]*links.Link, len(f.Gateways))
+		for j, to := range f.Gateways {
+			if i == j {
+				continue
+			}
+			l, err := links.Start(to.fleet, f.Seed+uint64(i*100+j))
+			if err != nil {
+				return err
+			}
+			row[j] = l
+		}
+		f.links = append(f.links, row)
+	}
+	return nil
+}
+
+// Set has a link fail in some way; both ways where both is true.
+func (f *Federation) Set(from, to int, both bool, fault links.Fault) {
+	f.links[from][to].Set(fault)
+	if both {
+		f.links[to][from].Set(fault)
+	}
+}
+
+// Heal makes all links whole.
+func (f *Federation) Heal() {
+	for i := range f.Gateways {
+		for j := range f.Gateways {
+			if i != j {
+				f.Set(i, j, false, links.Fault{})
+			}
+		}
+	}
+}
+
+// Carried is what all links together have carried.
+func (f *Federation) Carried() (datagrams, bytes int) {
+	for _, row := range f.links {
+		for _, l := range row {
+			if l != nil {
+				d, b := l.Carried()
+				datagrams, bytes = datagrams+d, bytes+b
+			}
+		}
+	}
+	return datagrams, bytes
+}
+
+// configure writes a gateway's files.
+func (g *Gateway) configure() error {
+	f := g.of
+	platform := scene.Configuration(scene.Platform{
+		Name: g.Name, Listen: g.listen, Registry: f.registry.Addr(), Endpoints: f.endpoints, ConnectTimeout: 5 * time.Second,
+		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": 5000,
+			"worth": 3, "late_worth": 0.4, "aim_ms": 2000, "hard_limit_ms": 5000}},
+	})
+	if err := os.WriteFile(filepath.Join(g.dir, "config.json"), platform, 0o600); err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "[[service]]\nname = 'maps'\n[[team]]\nname = %q\n[[team.allow]]\nservice = 'maps'\n", Team)
+	if f.Alone {
+		n := float64(len(f.Gateways))
+		fmt.Fprintf(&b, "rate = %v\nburst = %v\n", f.Rate/n, max(1, f.Burst/n))
+		return os.WriteFile(filepath.Join(g.dir, "operator.toml"), b.Bytes(), 0o600)
+	}
+	fmt.Fprintf(&b, "rate = %v\nburst = %v\nquota = 'fleet'\n", f.Rate, f.Burst)
+	fmt.Fprintf(&b, "[fleet]\nname = %q\nlisten = %q\nlease = '%v'\nperiod = '%v'\n", g.Name, g.fleet, f.Lease, f.Lease/10)
+	for p := range f.Partners {
+		fmt.Fprintf(&b, "[[fleet.partner]]\nname = 'p%d'\npart = %v\n", p, f.Parts[p])
+	}
+	for _, o := range f.Gateways {
+		addr := o.fleet
+		if o != g {
+			addr = f.links[g.Number][o.Number].Addr()
+		}
+		fmt.Fprintf(&b, "[[fleet.gateway]]\nname = %q\npartner = 'p%d'\naddress = %q\n", o.Name, o.Partner, addr)
+	}
+	return os.WriteFile(filepath.Join(g.dir, "operator.toml"), b.Bytes(), 0o600)
+}
+
+// patience bounds a wait that should end soon.
+const patience = 20 * time.Second
+
+// Start starts a gateway's process, and waits until it serves.
+func (g *Gateway) Start() error {
+	f := g.of
+	management, err := process.FreeAddr()
+	if err != nil {
+		return err
+	}
+	env := append(slices.Clone(f.Env), "NODE_CONFIG="+filepath.Join(g.dir, "config.json"), "SPOKEGW_OPERATOR="+filepath.Join(g.dir, "operator.toml"), "TMPDIR="+g.dir)
+	p, err := process.Start(f.Program, management, env, f.Log)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.process = p
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if _, err := p.Ready(ctx); err != nil {
+		return fmt.Errorf("federation: %s: %w", g.Name, err)
+	}
+	g.setStopped(false)
+	return nil
+}
+
+func (g *Gateway) setStopped(stopped bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = stopped
+}
+
+func (g *Gateway) isStopped() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stopped
+}
+
+// Process is the gateway's, as it was started last.
+func (g *Gateway) Process() *process.Process {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.process
+}
+
+// Kill kills the process, and waits until it has ended.
+func (g *Gateway) Kill() {
+	g.setStopped(true)
+	p := g.Process()
+	p.Kill()
+	<-p.Ended
+}
+
+// Figures are what the gateway's second address tells.
+func (g *Gateway) Figures() (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return g.Process().Ask(ctx, "show-stat")
+}
+
+// met notes a request at an endpoint.
+func (f *Federation) met(r *http.Request) {
+	at := time.Since(f.begun)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ran = append(f.ran, at)
+	f.keys[r.Header.Get("Idempotency-Key")]++
+}
+
+// Ran is how many requests came to the endpoints since a time.
+func (f *Federation) Ran(since time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from := since.Sub(f.begun)
+	i, _ := slices.BinarySearch(f.ran, from)
+	return len(f.ran) - i
+}
+
+// Repeated are keys that came to the endpoints more than once.
+func (f *Federation) Repeated() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, times := range f.keys {
+		if times > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// jitter is by how much requests may come to the endpoints closer together than they were
+// let out, on a machine that is short of processors.
+const jitter = 250 * time.Millisecond
+
+// Overshoot is by how many requests all gateways together were over what they may let out
+// in any span, and how long that span was: the rate, one burst, and a request for each
+// gateway, whose part of the burst may be less.
+func (f *Federation) Overshoot() (over float64, span time.Duration) {
+	f.mu.Lock()
+	ran := slices.Clone(f.ran)
+	f.mu.Unlock()
+	slices.Sort(ran)
+	// Over a span from request i to j it is j-i+1 - rate*(t[j]-t[i]) - bound: the largest is
+	// found in one walk, as the largest difference of j - rate*t[j].
+	bound := f.Burst + float64(len(f.Gateways)) + f.Rate*jitter.Seconds()
+	least, leastAt := 0.0, time.Duration(0)
+	for j, at := range ran {
+		level := float64(j) - f.Rate*at.Seconds()
+		if j == 0 || level < least {
+			least, leastAt = level, at
+		}
+		if o := level - least + 1 - bound; o > over {
+			over, span = o, at-leastAt
+		}
+	}
+	return over, span
+}
+
+// Ask has clients ask each gateway at its rate, whatever it answers, until ctx ends. It
+// returns when the last answer is there.
+func (f *Federation) Ask(ctx context.Context) {
+	var clients sync.WaitGroup
+	for _, g := range f.Gateways {
+		clients.Go(func() { g.ask(ctx) })
+	}
+	clients.Wait()
+}
+
+// mostOpen bounds the requests that are out at a gateway.
+const mostOpen = 256
+
+func (g *Gateway) ask(ctx context.Context) {
+	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	var out sync.WaitGroup
+	defer out.Wait()
+	r := rand.New(rand.NewPCG(g.of.Seed, uint64(g.Number)))
+	room := make(chan struct{}, mostOpen)
+	owed, last := 0.0, time.Now()
+	tick := time.NewTicker(4 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		owed = min(owed+float64(g.demand.Load())*now.Sub(last).Seconds()*(0.5+r.Float64()), 64)
+		last = now
+		for ; owed >= 1; owed-- {
+			select {
+			case room <- struct{}{}:
+			default:
+				continue
+			}
+			out.Go(func() {
+				g.request(client)
+				<-room
+			})
+		}
+	}
+}
+
+func (g *Gateway) request(client *http.Client) {
+	id := fmt.Sprintf("%s-%d", g.Name, g.asked.Add(1))
+	req, err := http.NewRequest("POST", "http://"+g.listen+"/status-report?user=k", nil)
+	if err != nil {
+		return
+	}
+	for name, value := range map[string]string{"Req-Id": id, "Idempotency-Key": "k" + id, "Req-Kind": "status-report", "Req-Owner": Team, "Req-Deadline": "5000m"} {
+		req.Header.Set(name, value)
+	}
+	stopped := g.isStopped()
+	resp, err := client.Do(req)
+	if err != nil {
+		if stopped || g.isStopped() {
+			g.lost.Add(1)
+		} else if !strings.Contains(err.Error(), "refused") { // it is not up yet
+			g.failed.Add(1)
+		}
+		return
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		g.served.Add(1)
+	case http.StatusTooManyRequests:
+		g.over.Add(1)
+	default:
+		g.other.Add(1)
+	}
+}
+
+// Demand sets the requests a second that clients ask each gateway for; the last is of all
+// others.
+func (f *Federation) Demand(of ...float64) {
+	for i, g := range f.Gateways {
+		g.demand.Store(int64(of[min(i, len(of)-1)]))
+	}
+}
+
+// Tally is what clients had of a gateway.
+type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost int64 }
+
+// Tally counts over all gateways.
+func (f *Federation) Tally() (t Tally) {
+	for _, g := range f.Gateways {
+		t.Asked += g.asked.Load()
+		t.Served += g.served.Load()
+		t.OverQuota += g.over.Load()
+		t.Other += g.other.Load()
+		t.Failed += g.failed.Load()
+		t.Lost += g.lost.Load()
+	}
+	return t
+}
+
+// Close ends everything. Processes are killed.
+func (f *Federation) Close() {
+	for _, g := range f.Gateways {
+		if p := g.Process(); p != nil {
+			p.Kill()
+			<-p.Ended
+		}
+	}
+	for _, row := range f.links {
+		for _, l := range row {
+			if l != nil {
+				l.Close()
+			}
+		}
+	}
+	for _, e := range f.endpoints {
+		e.Close()
+	}
+	if f.registry != nil {
+		f.registry.Close()
+	}
+}
