--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -99,6 +100,24 @@
 		}
 	}
 	becomes("after all were started anew", 0.9)
+
+	owns := func(want string) bool {
+		text, err := f.Gateways[0].Figures()
+		return err == nil && strings.Contains(text, "node.fleet.quota.maps/"+federation.Team+"/.own:"+want+"|g")
+	}
+	if !owns("200") { // half of 0.4, as it wants all
+		t.Error("before the parts change the first gateway does not own 0.2")
+	}
+	for _, parts := range [][]float64{{0.4, 0.4, 0}, {0.5, 0.5, 0}} { // one leaves, lowered first
+		if err := f.SetParts(parts...); err != nil {
+			t.Fatal(err)
+		}
+		used(2 * time.Second)
+	}
+	if !owns("250") {
+		t.Error("after the parts changed the first gateway does not own 0.25")
+	}
+	becomes("after a partner has left", 0.9)
 	stop()
 	clients.Wait()
 
--- a/internal/broker/part_test.go
+++ b/internal/broker/part_test.go
@@ -103,3 +103,24 @@
 		t.Errorf("asked for %.2f limits times seconds", requests)
 	}
 }
+
+// BenchmarkShared is a verdict on a call whose limits are this process's own, and on one
+// that the fleet shares, whose part moves five times a second.
+func BenchmarkShared(b *testing.B) {
+	for name, shared := range map[string]bool{"own": false, "shared": true} {
+		b.Run(name, func(b *testing.B) {
+			br := New(0, Terms{Classes: 1, Contracts: []Contract{{Team: "a", Calls: []Call{{Classes: AllClasses, Rate: 1e6, Burst: 1e5, Shared: shared}}}}})
+			b.ReportAllocs()
+			for i := range b.N {
+				now := time.Duration(i) * 2 * time.Microsecond
+				if i%100000 == 0 {
+					br.SetPart(now, "a", 0, 0.5, 0.4+0.1*float64(i/100000%2), now+time.Second)
+				}
+				ticket, v := br.Admit(now, "a", 0, 0.001)
+				if v.Kind == Admitted {
+					br.Ended(now, &ticket, false, Answered, time.Millisecond, time.Second)
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,9 +99,26 @@
 	OtherVersion uint64
 }
 
+// plan are the gateways of the file in force. It is not changed, but replaced.
+type plan struct {
+	gateways  []quota.Gateway
+	addresses map[string]string
+}
+
+// part is what a gateway owns; false: it is none of them.
+func (p *plan) part(name string) (quota.Part, bool) {
+	for _, g := range p.gateways {
+		if g.Name == name {
+			return g.Part, true
+		}
+	}
+	return 0, false
+}
+
 // Fleet is this process's place in the fleet.
 type Fleet struct {
-	config    Config
+	config    Config // Gateways and Addresses are those of the start: plan has those in force
+	plan      atomic.Pointer[plan]
 	begun     time.Time
 	transport *transport
 	list      *memberlist.Memberlist
@@ -150,8 +167,9 @@
 	f.members = rank.Mutex{Rank: rankMembers, Name: "members"}
 	f.publishing = rank.Mutex{Rank: rankPublished, Name: "published"}
 	f.published.Store(&Status{Contracts: map[string]Standing{}})
-	self := slices.IndexFunc(c.Gateways, func(g quota.Gateway) bool { return g.Name == c.Name })
-	if self < 0 {
+	f.plan.Store(&plan{c.Gateways, c.Addresses})
+	part, known := f.plan.Load().part(c.Name)
+	if !known {
 		return nil, fmt.Errorf("fleet: this gateway, %q, is none of the fleet's", c.Name)
 	}
 	for i := range f.shards {
@@ -160,11 +178,11 @@
 	incarnation := 1 + rand.Uint64N(1<<31)
 	for _, k := range c.Contracts {
 		f.shardOf(k.Name).contracts[k.Name] = &contract{
-			Contract: k, holder: quota.NewHolder(0, c.Settings, c.Name, incarnation, c.Gateways[self].Part),
+			Contract: k, holder: quota.NewHolder(0, c.Settings, c.Name, incarnation, part),
 		}
 	}
 	var err error
-	if f.transport, err = newTransport(c.Listen, c.Addresses); err != nil {
+	if f.transport, err = newTransport(c.Listen, f.address); err != nil {
 		return nil, err
 	}
 	return f, nil
@@ -202,6 +220,51 @@
 	}
 }
 
+// address is where a gateway is reached; false: it is none of the fleet's.
+func (f *Fleet) address(name string) (string, bool) {
+	addr, known := f.plan.Load().addresses[name]
+	return addr, known
+}
+
+// Replace takes other gateways, parts and addresses, among them this one's. What was given
+// under those before is counted to its end. Parts that grow may be used at once: those that
+// become less are to be in force everywhere before.
+func (f *Fleet) Replace(gateways []quota.Gateway, addresses map[string]string) error {
+	next := &plan{gateways, addresses}
+	part, known := next.part(f.config.Name)
+	if !known || len(gateways) > quota.MaxGateways {
+		return fmt.Errorf("fleet: this gateway, %q, among %d at most is expected", f.config.Name, quota.MaxGateways)
+	}
+	f.plan.Store(next)
+	for i := range f.shards {
+		f.replaceShard(&f.shards[i], part, gateways)
+	}
+	f.members.Lock()
+	for name := range f.up {
+		if _, known := addresses[name]; !known {
+			delete(f.up, name)
+		}
+	}
+	f.version++
+	all := slices.Sorted(maps.Keys(f.up))
+	f.members.Unlock()
+	f.publish(func(s *Status) { s.Up = all })
+	slog.Info("fleet: other gateways or parts", "gateways", len(gateways), "part", part.Fraction())
+	return nil
+}
+
+func (f *Fleet) replaceShard(s *shard, part quota.Part, gateways []quota.Gateway) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.contracts {
+		c.holder.SetPart(part)
+		if c.steward != nil {
+			c.steward.SetPlan(f.now(), gateways)
+		}
+		f.enforce(c)
+	}
+}
+
 // Run takes part in the fleet until ctx ends. Its last word is that it leaves.
 func (f *Fleet) Run(ctx context.Context) error {
 	defer f.transport.Shutdown()
@@ -241,11 +304,12 @@
 func (f *Fleet) rejoin() {
 	tick := time.NewTicker(rejoinEvery)
 	defer tick.Stop()
-	for next := rand.IntN(len(f.config.Gateways)); ; {
-		for range f.config.Gateways {
-			next = (next + 1) % len(f.config.Gateways)
-			if g := f.config.Gateways[next]; g.Name != f.config.Name && !f.isUp(g.Name) {
-				f.list.Join([]string{g.Name + "/" + f.config.Addresses[g.Name]}) // an error is one more gateway that is not up
+	for next := 0; ; {
+		p := f.plan.Load()
+		for range p.gateways {
+			next = (next + 1) % len(p.gateways)
+			if name := p.gateways[next].Name; name != f.config.Name && !f.isUp(name) {
+				f.list.Join([]string{name + "/" + p.addresses[name]}) // an error is one more gateway that is not up
 				break
 			}
 		}
@@ -265,7 +329,7 @@
 
 // setUp takes word of a gateway.
 func (f *Fleet) setUp(name string, up bool) {
-	if name == f.config.Name || !slices.ContainsFunc(f.config.Gateways, func(g quota.Gateway) bool { return g.Name == name }) {
+	if _, known := f.address(name); !known || name == f.config.Name {
 		return
 	}
 	f.members.Lock()
--- /dev/null
+++ b/internal/fleet/quota/partner_test.go
@@ -0,0 +1,254 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// pool is a federation without a network: messages arrive at once, and the first gateway is
+// steward.
+type pool struct {
+	t       *testing.T
+	now     time.Duration
+	plan    []Gateway
+	holders []*Holder
+	steward *Steward
+	demands []Part
+	change  func(i int, r Report) Report // of a gateway that lies; nil: none does
+}
+
+func newPool(t *testing.T, plan ...Gateway) *pool {
+	p := &pool{t: t, plan: plan, steward: NewSteward(0, smallSet, plan[0].Name, 1, plan), demands: make([]Part, len(plan))}
+	for _, g := range plan {
+		p.holders = append(p.holders, NewHolder(0, smallSet, g.Name, 1, g.Part))
+	}
+	return p
+}
+
+// run plays for a time, and tells the mean of what each may admit.
+func (p *pool) run(d time.Duration) (mean []float64) {
+	mean = make([]float64, len(p.plan))
+	rounds := int(d / smallSet.Period)
+	for range rounds {
+		p.now += smallSet.Period
+		for i, h := range p.holders {
+			r, _ := h.Tick(p.now, p.demands[i], []string{p.plan[0].Name})
+			if p.change != nil {
+				r = p.change(i, r)
+			}
+			p.hear(r, 0)
+		}
+		sum := Part(0)
+		for i, h := range p.holders {
+			limit := h.Limit(p.now).At(p.now)
+			sum += limit
+			mean[i] += limit.Fraction() / float64(rounds)
+		}
+		if sum > Whole {
+			p.t.Fatalf("at %v all may admit %.4f", p.now, sum.Fraction())
+		}
+	}
+	return mean
+}
+
+func (p *pool) hear(r Report, depth int) {
+	for _, reply := range p.steward.Hear(p.now, r) {
+		for i, h := range p.holders {
+			if p.plan[i].Name == reply.To && h.Take(p.now, reply) && depth < 8 {
+				if again, ok := h.Again(p.now); ok {
+					p.hear(again, depth+1)
+				}
+			}
+		}
+	}
+}
+
+// gateways are those of partners with a part each, named by partner and number.
+func partnersOf(parts map[string]Part, each map[string]int, order ...string) (plan []Gateway) {
+	for _, name := range order {
+		for i := range each[name] {
+			plan = append(plan, Gateway{Name: fmt.Sprint(name, i), Partner: name, Part: parts[name] / Part(each[name])})
+		}
+	}
+	return plan
+}
+
+func sumOf(plan []Gateway, mean []float64, partner string) (sum float64) {
+	for i, g := range plan {
+		if g.Partner == partner {
+			sum += mean[i]
+		}
+	}
+	return sum
+}
+
+// A partner that doubles its gateways gains nothing by it, neither in a surge of all nor
+// of what an idle one lends.
+func TestDoubledGateways(t *testing.T) {
+	parts := map[string]Part{"a": Of(0.3), "b": Of(0.3), "c": Of(0.4)}
+	for name, idle := range map[string]bool{"all want all": false, "one lends": true} {
+		var got []float64
+		for _, n := range []int{2, 4, 8} {
+			plan := partnersOf(parts, map[string]int{"a": 2, "b": n, "c": 1}, "a", "b", "c")
+			p := newPool(t, plan...)
+			for i, g := range plan {
+				p.demands[i] = Whole
+				if idle && g.Partner == "c" {
+					p.demands[i] = 0
+				}
+			}
+			p.run(5 * time.Second)
+			got = append(got, sumOf(plan, p.run(20*time.Second), "b"))
+		}
+		for _, g := range got[1:] {
+			if g > got[0]*1.03 {
+				t.Errorf("%s: with 2, 4 and 8 gateways the partner had %.3f", name, got)
+			}
+		}
+	}
+}
+
+// One gateway of a partner has nine tenths of its demand: it has what the partner owns.
+func TestUnevenWithinPartner(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.5), "b": Of(0.5)}, map[string]int{"a": 3, "b": 2}, "a", "b")
+	p := newPool(t, plan...)
+	p.demands = []Part{Of(0.02), Of(0.45), Of(0.02), Whole, Whole}
+	p.run(5 * time.Second)
+	if mean := p.run(10 * time.Second); mean[1] < 0.43 {
+		t.Errorf("it has %.3f", mean[1])
+	}
+}
+
+// Who has lived on another's part comes after those who lent, where there is something
+// left that both want; over a minute it evens out.
+func TestDebtors(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.25), "b": Of(0.25), "c": Of(0.5)}, map[string]int{"a": 1, "b": 1, "c": 1}, "a", "b", "c")
+	p := newPool(t, plan...)
+	p.demands = []Part{0, Whole, 0} // b lives on a and c
+	p.run(60 * time.Second)
+	p.demands = []Part{Whole, Whole, 0} // a wants of c's as well
+	p.run(2 * time.Second)
+	first := p.run(8 * time.Second)
+	if first[0] < first[1]+0.1 {
+		t.Errorf("after it lent for a minute a has %.3f, and b %.3f", first[0], first[1])
+	}
+	p.run(2 * time.Minute)
+	if later := p.run(time.Minute); later[0] > later[1]+0.06 || later[1] > later[0]+0.06 {
+		t.Errorf("in the long run a has %.3f, and b %.3f", later[0], later[1])
+	}
+}
+
+// A gateway that lies gets at most what the others do not use: all that it can say of its
+// demand takes nothing from an owner that wants its part.
+func TestLiar(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.4), "b": Of(0.3), "c": Of(0.3)}, map[string]int{"a": 1, "b": 1, "c": 1}, "a", "b", "c")
+	lies := map[string]func(Report) Report{
+		"wants all":           func(r Report) Report { r.Demand = Whole; return r },
+		"wants the same late": func(r Report) Report { r.Demand, r.Heard = Whole, r.Heard/2; return r },
+		"impossible":          func(r Report) Report { r.Demand, r.Cede, r.Heard = 1<<62, 1<<62, 1<<62; return r },
+		"under 0":             func(r Report) Report { r.Demand, r.Cede = -1<<62, -1<<62; return r },
+		"a later life":        func(r Report) Report { r.Incarnation = 1 << 62; return r },
+	}
+	for name, lie := range lies {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, plan...)
+			p.demands = []Part{Of(0.35), Of(0.25), 0}
+			p.change = func(i int, r Report) Report {
+				if i == 2 {
+					return lie(r)
+				}
+				return r
+			}
+			p.run(5 * time.Second)
+			mean := p.run(10 * time.Second)
+			if mean[0] < 0.35 || mean[1] < 0.25 {
+				t.Errorf("the others have %.3f and %.3f", mean[0], mean[1])
+			}
+			if used := p.holders[2].Limit(p.now).At(p.now); used > Of(0.42) {
+				t.Errorf("it has %.3f", used.Fraction())
+			}
+		})
+	}
+}
+
+// A flood of reports of one gateway, and of strangers, takes up no room and nothing from
+// the others.
+func TestFlood(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.5), "b": Of(0.5)}, map[string]int{"a": 1, "b": 1}, "a", "b")
+	p := newPool(t, plan...)
+	p.demands = []Part{Of(0.1), Whole}
+	flood := Report{From: "b0", Incarnation: 5, To: "a0", ToIncarnation: 1, Demand: Whole}
+	p.change = func(i int, r Report) Report {
+		for range 1000 {
+			flood.Seq++
+			flood.Heard = flood.Seq % 40
+			flood.Cede = Part(flood.Seq % 7 * 1e8)
+			p.steward.Hear(p.now, flood)
+			p.steward.Hear(p.now, Report{From: fmt.Sprint("x", flood.Seq), Incarnation: 1, Seq: 1, To: "a0"})
+		}
+		return r
+	}
+	p.run(2 * time.Second)
+	mean := p.run(10 * time.Second)
+	if mean[0] < 0.1 {
+		t.Errorf("the other has %.3f", mean[0])
+	}
+	for _, a := range p.steward.accounts {
+		if len(a.cessions) > mostEntries || len(a.grants) > mostEntries {
+			t.Errorf("%s: %d and %d entries", a.Name, len(a.cessions), len(a.grants))
+		}
+	}
+	if len(p.steward.accounts) != 2 {
+		t.Errorf("%d accounts", len(p.steward.accounts))
+	}
+}
+
+// Two processes of one name find out, and each of the others keeps its part.
+func TestNameTwice(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.5), "b": Of(0.5)}, map[string]int{"a": 1, "b": 1}, "a", "b")
+	s := NewSteward(0, smallSet, "a0", 1, plan)
+	one, two, other := NewHolder(0, smallSet, "b0", 10, Of(0.5)), NewHolder(0, smallSet, "b0", 20, Of(0.5)), NewHolder(0, smallSet, "a0", 1, Of(0.5))
+	for now := time.Duration(0); now < 20*time.Second; now += smallSet.Period {
+		for _, h := range []*Holder{one, two, other} {
+			r, _ := h.Tick(now, Whole, []string{"a0"})
+			for _, reply := range s.Hear(now, r) {
+				h.Take(now, reply)
+			}
+		}
+		if now > 2*time.Second && other.Limit(now).At(now) < Of(0.5) {
+			t.Fatalf("at %v another has %.3f of its 0.5", now, other.Limit(now).At(now).Fraction())
+		}
+	}
+	if one.Bumped() < 2 || two.Bumped() < 2 {
+		t.Errorf("they found out %d and %d times", one.Bumped(), two.Bumped())
+	}
+}
+
+// Hours of use leave nothing behind.
+func TestSoakOfLeases(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.4), "b": Of(0.3), "c": Of(0.3)}, map[string]int{"a": 2, "b": 2, "c": 2}, "a", "b", "c")
+	p := newPool(t, plan...)
+	for i := range 3 * 60 {
+		for j := range p.demands {
+			p.demands[j] = Whole * Part((i*7+j*3)%11) / 10
+		}
+		p.run(time.Minute)
+	}
+	for _, h := range p.holders {
+		n := 0
+		for _, c := range h.ceded {
+			n += len(c.entries)
+		}
+		if len(h.ceded) > 1 || n > mostEntries || len(h.shunned) > 0 {
+			t.Errorf("%s: %d stewards, %d entries, %d shunned", h.name, len(h.ceded), n, len(h.shunned))
+		}
+	}
+	p.demands = make([]Part, len(plan))
+	p.run(3 * smallSet.Lease)
+	for k := range window {
+		if p.steward.granted[k] != 0 {
+			t.Fatalf("nobody wants anything, and in slot %d %d is granted", k, p.steward.granted[k])
+		}
+	}
+}
--- a/internal/fleet/quota/steward.go
+++ b/internal/fleet/quota/steward.go
@@ -261,12 +261,9 @@
 		for k := s.now; k < min(last, s.now+window); k++ {
 			room = min(room, a.grants.most(k)+s.ceded[k%window]-s.granted[k%window])
 		}
-		if last > s.now && room > amount+want/4 {
+		if last > s.now && room > amount+amount/10 { // a shorter one for the more that it brings
 			amount, lasts, end = room, d, last
 		}
-		if amount >= want/2 {
-			break
-		}
 	}
 	if amount <= 0 {
 		return 0, 0
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -24,7 +24,7 @@
 type transport struct {
 	udp     *net.UDPConn
 	tcp     *net.TCPListener
-	peers   map[string]string // address by name; not changed
+	address func(name string) (string, bool) // that the operator's file gives
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	dropped atomic.Uint64 // packets for which there was no room
@@ -34,7 +34,7 @@
 }
 
 // newTransport opens the address, with both protocols on one port.
-func newTransport(listen string, peers map[string]string) (*transport, error) {
+func newTransport(listen string, address func(name string) (string, bool)) (*transport, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
@@ -46,7 +46,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	t := &transport{
-		udp: udp, tcp: l.(*net.TCPListener), peers: peers,
+		udp: udp, tcp: l.(*net.TCPListener), address: address,
 		packets: make(chan *memberlist.Packet, packetQueue), streams: make(chan net.Conn, streamQueue), closing: make(chan struct{}),
 	}
 	t.going.Go(t.receive)
@@ -109,7 +109,7 @@
 
 // WriteToAddress sends a packet to a peer.
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	at, known := t.peers[a.Name]
+	at, known := t.address(a.Name)
 	if !known {
 		return time.Time{}, errNoPeer
 	}
@@ -123,7 +123,7 @@
 
 // DialAddressTimeout opens a stream to a peer.
 func (t *transport) DialAddressTimeout(a memberlist.Address, patience time.Duration) (net.Conn, error) {
-	at, known := t.peers[a.Name]
+	at, known := t.address(a.Name)
 	if !known {
 		return nil, errNoPeer
 	}
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -72,7 +72,7 @@
 	}
 	if m.Report != nil {
 		if c.steward == nil {
-			c.steward = quota.NewSteward(f.now(), f.config.Settings, f.config.Name, 1+rand.Uint64N(1<<31), f.config.Gateways)
+			c.steward = quota.NewSteward(f.now(), f.config.Settings, f.config.Name, 1+rand.Uint64N(1<<31), f.plan.Load().gateways)
 		}
 		for _, r := range c.steward.Hear(f.now(), *m.Report) {
 			out = append(out, outgoing{r.To, message.Message{Contract: c.Name, Reply: &r}})
@@ -126,7 +126,9 @@
 		return
 	}
 	// What is lost is told again with the next report.
-	f.list.SendToAddress(memberlist.Address{Addr: f.transport.peers[o.to], Name: o.to}, b)
+	if addr, known := f.address(o.to); known {
+		f.list.SendToAddress(memberlist.Address{Addr: addr, Name: o.to}, b)
+	}
 }
 
 // delegate takes what memberlist brings.
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"spokegw/internal/lab"
@@ -190,7 +191,7 @@
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": 5000,
 			"worth": 3, "late_worth": 0.4, "aim_ms": 2000, "hard_limit_ms": 5000}},
 	})
-	if err := os.WriteFile(filepath.Join(g.dir, "config.json"), platform, 0o600); err != nil {
+	if err := g.write("config.json", platform); err != nil {
 		return err
 	}
 	var b bytes.Buffer
@@ -198,7 +199,7 @@
 	if f.Alone {
 		n := float64(len(f.Gateways))
 		fmt.Fprintf(&b, "rate = %v\nburst = %v\n", f.Rate/n, max(1, f.Burst/n))
-		return os.WriteFile(filepath.Join(g.dir, "operator.toml"), b.Bytes(), 0o600)
+		return g.write("operator.toml", b.Bytes())
 	}
 	fmt.Fprintf(&b, "rate = %v\nburst = %v\nquota = 'fleet'\n", f.Rate, f.Burst)
 	fmt.Fprintf(&b, "[fleet]\nname = %q\nlisten = %q\nlease = '%v'\nperiod = '%v'\n", g.Name, g.fleet, f.Lease, f.Lease/10)
@@ -212,7 +213,28 @@
 		}
 		fmt.Fprintf(&b, "[[fleet.gateway]]\nname = %q\npartner = 'p%d'\naddress = %q\n", o.Name, o.Partner, addr)
 	}
-	return os.WriteFile(filepath.Join(g.dir, "operator.toml"), b.Bytes(), 0o600)
+	return g.write("operator.toml", b.Bytes())
+}
+
+// write puts a file there whole: a process may be reading the one before.
+func (g *Gateway) write(name string, text []byte) error {
+	path := filepath.Join(g.dir, name)
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// SetParts has all gateways take over other parts of the partners.
+func (f *Federation) SetParts(parts ...float64) error {
+	f.Parts = parts
+	for _, g := range f.Gateways {
+		if err := g.configure(); err != nil {
+			return err
+		}
+		g.Process().Signal(syscall.SIGHUP)
+	}
+	return nil
 }
 
 // patience bounds a wait that should end soon.
@@ -419,6 +441,9 @@
 	}
 }
 
+// Ask sets the requests a second that clients ask this gateway for.
+func (g *Gateway) Ask(demand float64) { g.demand.Store(int64(demand)) }
+
 // Tally is what clients had of a gateway.
 type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost int64 }
 
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -140,6 +140,15 @@
 	return all
 }
 
+// Addresses are those at which gateways are reached, by name.
+func (f *Fleet) Addresses() map[string]string {
+	all := make(map[string]string, len(f.Gateways))
+	for _, g := range f.Gateways {
+		all[g.Name] = g.Address
+	}
+	return all
+}
+
 // Quota is a call of a team's whose limits the whole fleet shares.
 type Quota struct {
 	Team    string
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -56,10 +56,7 @@
 		return nil
 	}
 	o := s.config.Operator.Fleet
-	sh := &shared{config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: map[string]string{}, Settings: o.Settings}}
-	for _, g := range o.Gateways {
-		sh.config.Addresses[g.Name] = g.Address
-	}
+	sh := &shared{config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: o.Addresses(), Settings: o.Settings}}
 	for _, q := range s.config.Operator.Quotas() {
 		a := &account{quota: q}
 		sh.accounts = append(sh.accounts, a)
@@ -74,6 +71,8 @@
 }
 
 func (s *Sidecar) openFleet() error {
+	s.mu.Lock() // a reload meanwhile is taken before or after
+	defer s.mu.Unlock()
 	f, err := fleet.New(s.shared.config)
 	if err != nil {
 		return err
@@ -122,23 +121,35 @@
 	return s.shared.fleet.Load().Addr()
 }
 
-// checkShared tells what of the fleet a reload would change.
+// checkShared tells what of the fleet a reload would change and can't: all but its
+// partners, gateways and parts.
 func (s *Sidecar) checkShared(f *operator.File) error {
-	if !sameFleet(f.Fleet, s.config.Operator.Fleet) {
-		return fmt.Errorf("fleet: its settings can't be changed while the sidecar runs")
-	}
-	if !slices.Equal(f.Quotas(), s.config.Operator.Quotas()) {
+	now := s.config.Operator.Fleet
+	switch {
+	case (f.Fleet == nil) != (now == nil):
+		return fmt.Errorf("fleet: it can't be put in or taken away while the sidecar runs")
+	case now == nil:
+		return nil
+	case f.Fleet.Name != now.Name || f.Fleet.Listen != now.Listen || f.Fleet.Settings != now.Settings || !slices.Equal(f.Fleet.Key, now.Key):
+		return fmt.Errorf("fleet: only its partners and gateways can be changed while the sidecar runs")
+	case !slices.Equal(f.Quotas(), s.config.Operator.Quotas()):
 		return fmt.Errorf("quota: which calls share limits with the fleet can't be changed while the sidecar runs")
 	}
 	return nil
 }
 
-func sameFleet(a, b *operator.Fleet) bool {
-	if a == nil || b == nil {
-		return a == b
+// replaceFleet takes the partners, gateways and parts of another file. The sidecar's lock
+// is held, which the fleet never takes: it goes before the fleet's own.
+func (s *Sidecar) replaceFleet(f *operator.File) {
+	if s.shared == nil {
+		return
+	}
+	s.shared.config.Gateways, s.shared.config.Addresses = f.Fleet.Parts(), f.Fleet.Addresses()
+	if running := s.shared.fleet.Load(); running != nil {
+		if err := running.Replace(s.shared.config.Gateways, s.shared.config.Addresses); err != nil {
+			slog.Error("fleet: a plan that was checked is not taken", "error", err)
+		}
 	}
-	return a.Name == b.Name && a.Listen == b.Listen && slices.Equal(a.Key, b.Key) && a.Settings == b.Settings &&
-		slices.Equal(a.Gateways, b.Gateways) && slices.EqualFunc(a.Partners, b.Partners, func(x, y operator.Partner) bool { return x.Name == y.Name && x.Part == y.Part })
 }
 
 // fleetFigures are figures of the fleet, for show-stat: parts are in thousandths of a quota.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -456,6 +456,7 @@
 	}
 	s.core.UseTerms(table, terms)
 	s.useShared(services)
+	s.replaceFleet(f)
 	for _, r := range old {
 		if !holds(services, r) {
 			r.retire()
