policy: a call after failed ones comes while the known list still holds

Without a watch a sidecar is held to its list for the asking time, four times that after a failed call. The wait after failures grew to 24 s with half of it as jitter whatever the asking time is: of 2 s it was 33 s, where 8 are allowed. It is bounded by four asking times now, less the 4 s that a call may take to fail; with this site's 10 s that is the same 24 s, so nothing changes there. TestCallsWhileAListHolds fails without it.

--- a/policy/discovery.go
+++ b/policy/discovery.go
@@ -5,7 +5,7 @@
 const (
 	subscribeSpread = 0.9              // part of AskWithin over which clients that start together call
 	firstBackoff    = 2 * time.Second  // wait before a failed call is repeated; doubles, with jitter,
-	longestBackoff  = 24 * time.Second // up to this
+	longestBackoff  = 24 * time.Second // up to this, and what a list holds after a failed call: 4 AskWithin, less the 4 s of a call
 )
 
 // planSubscribe sets the next call: a fleet that asks at once is turned away.
@@ -19,7 +19,7 @@
 // DiscoveryFailed tells that a call failed or the subscription broke.
 func (b *Balancer) DiscoveryFailed(now time.Duration) []Action {
 	b.begin(now)
-	b.backoff = min(max(2*b.backoff, firstBackoff), longestBackoff)
+	b.backoff = min(max(2*b.backoff, firstBackoff), longestBackoff, max((4*b.set.AskWithin-4*time.Second)*2/3, firstBackoff/2))
 	b.planSubscribe((0.5 + b.random()) * float64(b.backoff))
 	return b.actions
 }
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -738,6 +738,28 @@
 	}
 }
 
+// After a failed call the list that is known holds for four times AskWithin from that call,
+// which may itself take 4 s to fail: the next one is made before that.
+func TestCallsWhileAListHolds(t *testing.T) {
+	for _, within := range []time.Duration{2 * time.Second, 5 * time.Second, 10 * time.Second, time.Minute} {
+		set := settings()
+		set.OnRequest, set.AskWithin = true, within
+		b := start(t, set)
+		b.Endpoints(ms, fleetOf(2), true)
+		now := time.Minute
+		b.Timer(now, Token{Purpose: timerSubscribe})
+		for i := range 50 {
+			now += time.Minute
+			wait := b.DiscoveryFailed(now)[0].(SetTimer)
+			if most := 4*within - 4*time.Second; wait.In > most {
+				t.Errorf("AskWithin %v, failure %d: the next call after %v, %v at most is expected", within, i, wait.In, most)
+			}
+			now += wait.In
+			b.Timer(now, wait.Token)
+		}
+	}
+}
+
 func BenchmarkRequest(bench *testing.B) {
 	set := settings()
 	b, _ := New(set, 1)
