fleet: in an upgrade the old process lets its place go as the new one serves

Now the old one's fleet ends when the new one says that it serves: its limits are set to nothing first, then its address is free, which the new one looks for each 50 ms. If the new one ends the old one takes its place again (TestFleetUpgrade has both).

--- a/bench/federation/main.go
+++ b/bench/federation/main.go
@@ -9,7 +9,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"text/tabwriter"
@@ -114,6 +116,7 @@
 // result is what came of one federation.
 type result struct {
 	used      []float64
+	heals     float64 // seconds until the quota is used again
 	over      float64
 	repeated  int
 	tally     federation.Tally
@@ -143,6 +146,7 @@
 	show := func(what, form string, of func(result) any) {
 		fmt.Fprintf(w, "%s\t"+form+"\t"+form+"\n", what, of(results[0]), of(results[1]))
 	}
+	show("seconds until 0.9 is used once it is healed", "%.1f", func(r result) any { return r.heals })
 	show("requests over the quota in any span", "%.0f", func(r result) any { return r.over })
 	show("keys that ran twice", "%d", func(r result) any { return r.repeated })
 	show("requests", "%d", func(r result) any { return r.tally.Asked })
@@ -179,6 +183,9 @@
 		if err := s.do(f, rate); err != nil {
 			return r, err
 		}
+		if strings.HasPrefix(s.name, "healed") {
+			r.heals = untilUsed(f, rate)
+		}
 		time.Sleep(phase / 2)
 		from := time.Now()
 		datagrams, bytes, cpu := costs(f)
@@ -202,6 +209,20 @@
 	return r, nil
 }
 
+// untilUsed is after how many seconds nine tenths of the quota are used in half a second.
+func untilUsed(f *federation.Federation, rate float64) float64 {
+	const look = 500 * time.Millisecond
+	begun := time.Now()
+	for time.Since(begun) < 30*time.Second {
+		from := time.Now()
+		time.Sleep(look)
+		if float64(f.Ran(from)) >= 0.9*rate*time.Since(from).Seconds() {
+			return (time.Since(begun) - look).Seconds()
+		}
+	}
+	return math.Inf(1)
+}
+
 // costs are what the links have carried and the processes have used of processors.
 func costs(f *federation.Federation) (datagrams, bytes, cpu float64) {
 	d, b := f.Carried()
--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"strings"
 	"sync"
@@ -133,3 +134,53 @@
 		t.Errorf("%d of %d had no answer, %d an unexpected one", tally.Failed, tally.Asked, tally.Other)
 	}
 }
+
+// A process that takes over has the place in the fleet once the one before lets it go,
+// and that one takes it again if the new one ends.
+func TestFleetUpgrade(t *testing.T) {
+	s := newSite(t)
+	at := freeAddr(t)
+	s.operate(fmt.Sprintf(`
+[[service]]
+name = "maps"
+[[team]]
+name = "agencies"
+[[team.allow]]
+service = "maps"
+rate = 100
+quota = "fleet"
+[fleet]
+name = "g0"
+listen = %q
+lease = "500ms"
+period = "50ms"
+[[fleet.partner]]
+name = "p"
+part = 1
+[[fleet.gateway]]
+name = "g0"
+partner = "p"
+address = %q
+`, at, at))
+	const whole = "node.fleet.quota.maps/agencies/.own:1000|g"
+	has := func(p *running, what string) {
+		t.Helper()
+		for until := time.Now().Add(patience); !strings.Contains(p.ask(t, "show-stat"), whole); <-time.After(10 * time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatalf("%s has no place in the fleet: %s", what, p.ask(t, "show-stat"))
+			}
+		}
+	}
+	old := s.start()
+	old.ready(t)
+	has(old, "the first process")
+	next := s.start()
+	next.ready(t)
+	has(next, "the one that took over")
+	if text := old.ask(t, "show-stat"); strings.Contains(text, "node.fleet") {
+		t.Errorf("the one before has its place still: %s", text)
+	}
+	next.Kill()
+	await(t, "the end of the new one", next.Ended)
+	has(old, "the first process, alone again,")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -265,7 +265,8 @@
 	}
 }
 
-// Run takes part in the fleet until ctx ends. Its last word is that it leaves.
+// Run takes part in the fleet until ctx ends. From then on this process admits nothing of
+// what is shared, and its last word is that it leaves.
 func (f *Fleet) Run(ctx context.Context) error {
 	defer f.transport.Shutdown()
 	var err error
@@ -283,10 +284,23 @@
 	<-ctx.Done()
 	close(f.stopping)
 	going.Wait()
+	f.release()
 	f.list.Leave(leavePatience) // who does not hear of it finds out
 	return f.list.Shutdown()
 }
 
+// release has this process admit nothing of what is shared: another may have its place.
+func (f *Fleet) release() {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for _, c := range s.contracts {
+			c.Account.SetLimit(quota.Limit{}, func() time.Duration { return 0 })
+		}
+		s.mu.Unlock()
+	}
+}
+
 // settings are memberlist's. A gateway that is lost is given up after some seconds; that
 // costs the use of what it was lent, and nothing else.
 func (f *Fleet) settings() *memberlist.Config {
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -80,42 +80,45 @@
 }
 
 // Start starts a federation, and waits until each process serves.
-func Start(c Config) (f *Federation, err error) {
-	f = &Federation{Config: c, begun: time.Now(), keys: map[string]int{}}
-	defer func() {
-		if err != nil {
-			f.Close()
-		}
-	}()
+func Start(c Config) (*Federation, error) {
+	f := &Federation{Config: c, begun: time.Now(), keys: map[string]int{}}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Federation) start() (err error) {
 	for range 2 {
 		e, err := lab.StartEndpoint(lab.EndpointConfig{Workers: 2000, Work: time.Millisecond, Body: 10, Seen: f.met})
 		if err != nil {
-			return nil, err
+			return err
 		}
 		f.endpoints = append(f.endpoints, e)
 	}
 	if f.registry, err = lab.StartRegistry(scene.Entries(f.endpoints...), nil); err != nil {
-		return nil, err
+		return err
 	}
-	for partner, n := range c.Partners {
+	for partner, n := range f.Partners {
 		for range n {
 			if err := f.add(partner); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
 	if err := f.link(); err != nil {
-		return nil, err
+		return err
 	}
 	for _, g := range f.Gateways {
 		if err := g.configure(); err != nil {
-			return nil, err
+			return err
 		}
 		if err := g.Start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return f, nil
+	return nil
 }
 
 func (f *Federation) add(partner int) error {
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -17,11 +17,15 @@
 
 // shared are this process's place in a fleet, and what draws on its quotas.
 type shared struct {
-	fleet    atomic.Pointer[fleet.Fleet] // nil: it does not take part yet
+	fleet    atomic.Pointer[fleet.Fleet] // nil: it does not take part
 	config   fleet.Config
 	accounts []*account
+	yields   chan struct{} // another process takes the place, and may have taken it
 }
 
+// fleetRetry is how often a process that takes over looks whether the address is free.
+const fleetRetry = 50 * time.Millisecond
+
 // account is a call of a team's that draws on a quota. It is a fleet.Account.
 type account struct {
 	quota   operator.Quota
@@ -48,15 +52,14 @@
 	s.SetPart(a.quota.Team, a.class(s), l.Own.Fraction(), l.Grant.Fraction(), left)
 }
 
-// joinFleet makes the place in the fleet; nil where there is none. Its address is opened
-// once the process before this one, which has it, has ended: until then, and for a lease
-// after that, what the fleet shares is refused but for the floor.
+// joinFleet makes the place in the fleet; nil where there is none. A process that takes
+// over has it once the one before has let it go.
 func (s *Sidecar) joinFleet() error {
 	if s.config.Operator == nil || s.config.Operator.Fleet == nil {
 		return nil
 	}
 	o := s.config.Operator.Fleet
-	sh := &shared{config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: o.Addresses(), Settings: o.Settings}}
+	sh := &shared{yields: make(chan struct{}, 1), config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: o.Addresses(), Settings: o.Settings}}
 	for _, q := range s.config.Operator.Quotas() {
 		a := &account{quota: q}
 		sh.accounts = append(sh.accounts, a)
@@ -96,29 +99,72 @@
 	}
 }
 
-// serveFleet takes part in the fleet until ctx ends.
+// serveFleet takes part in the fleet until ctx ends. While another process takes over this
+// one has no part of what the fleet shares: it lets the address go, and takes it again if
+// that one ends.
 func (s *Sidecar) serveFleet(ctx context.Context) {
 	if s.shared == nil {
 		return
 	}
-	if s.shared.fleet.Load() == nil {
-		if err := s.afterPredecessor(ctx, s.openFleet); err != nil {
-			slog.Error("no part in the fleet: its address is not free", "error", err)
+	for told := false; ctx.Err() == nil; {
+		f := s.shared.fleet.Load()
+		if f == nil && !s.yielded.Load() {
+			err := s.openFleet()
+			if f = s.shared.fleet.Load(); err != nil && !told {
+				told = true
+				slog.Warn("no part in the fleet until its address is free", "error", err)
+			}
 		}
-	}
-	if f := s.shared.fleet.Load(); f != nil {
-		if err := f.Run(ctx); err != nil {
-			slog.Warn("fleet: left", "error", err)
+		if f == nil {
+			select {
+			case <-time.After(fleetRetry):
+			case <-ctx.Done():
+			}
+			continue
 		}
+		s.runFleet(ctx, f)
+	}
+}
+
+// runFleet takes part until ctx ends or the place is yielded.
+func (s *Sidecar) runFleet(ctx context.Context, f *fleet.Fleet) {
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	var err error
+	select {
+	case <-s.shared.yields:
+		leave()
+		err = <-ended
+	case err = <-ended:
+	}
+	s.shared.fleet.Store(nil)
+	if err != nil {
+		slog.Warn("fleet: left", "error", err)
+	}
+}
+
+// yieldFleet lets the place in the fleet go.
+func (s *Sidecar) yieldFleet() {
+	if s.shared == nil {
+		return
+	}
+	select {
+	case s.shared.yields <- struct{}{}:
+	default:
 	}
 }
 
 // AddrFleet is where the fleet's messages come to; "": nowhere.
 func (s *Sidecar) AddrFleet() string {
-	if s.shared == nil || s.shared.fleet.Load() == nil {
+	if s.shared == nil {
 		return ""
 	}
-	return s.shared.fleet.Load().Addr()
+	if f := s.shared.fleet.Load(); f != nil {
+		return f.Addr()
+	}
+	return ""
 }
 
 // checkShared tells what of the fleet a reload would change and can't: all but its
@@ -154,10 +200,13 @@
 
 // fleetFigures are figures of the fleet, for show-stat: parts are in thousandths of a quota.
 func (s *Sidecar) fleetFigures() string {
-	if s.shared == nil || s.shared.fleet.Load() == nil {
+	if s.shared == nil {
 		return ""
 	}
 	f := s.shared.fleet.Load()
+	if f == nil {
+		return ""
+	}
 	status, counts := f.Status(), f.Counts()
 	var b strings.Builder
 	fmt.Fprintf(&b, "node.fleet.up:%d|g\nnode.fleet.messages_dropped:%d|c\nnode.fleet.messages_broken:%d|c\nnode.fleet.messages_other_version:%d|c\n",
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -276,6 +276,7 @@
 	slog.Info("another process has taken over")
 	u.sidecar.yielded.Store(true)
 	u.sidecar.keepNoMore() // the successor does
+	u.sidecar.yieldFleet()
 	u.sidecar.front.Yield()
 }
 
@@ -290,6 +291,12 @@
 // there is.
 func (u *upgrade) SuccessorEnded() {
 	u.sidecar.front.Unyield()
+	if s := u.sidecar.shared; s != nil {
+		select {
+		case <-s.yields: // not taken yet
+		default:
+		}
+	}
 	if u.sidecar.serving.Load() {
 		u.sidecar.retakeConsole()
 		u.sidecar.keptMoves.Open(diskPatience)
