lab: gateways of a federation have hosts of the loopback of their own

bench/federation with 24 processes did not start: the address of one was taken by a link, or a call, before it was used.

--- a/bench/quota/main.go
+++ b/bench/quota/main.go
@@ -119,6 +119,8 @@
 	seeds := flag.Uint64("seeds", 5, "plays of each scene")
 	schedules := flag.Uint64("schedules", 200, "random schedules of faults")
 	sizes := flag.String("sizes", "10,100,500", "gateways, for the costs; none: not measured")
+	flag.DurationVar(&set.Lease, "lease", set.Lease, "of all ways that have one")
+	flag.DurationVar(&set.Period, "period", set.Period, "between reports")
 	flag.Parse()
 	if err := run(*seeds, *schedules, *sizes); err != nil {
 		fmt.Fprintln(os.Stderr, "quota:", err)
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -73,7 +73,7 @@
 	// silentLeases is how long a steward may be silent before another is tried.
 	silentLeases = 1.5
 	// shunLeases is how long it is not tried again then.
-	shunLeases = 5
+	shunLeases = 3
 )
 
 // Check tells what is wrong with settings.
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -63,6 +63,7 @@
 	Partner int
 	of      *Federation
 	dir     string
+	host    string // of the loopback, its own
 	listen  string
 	fleet   string
 
@@ -126,8 +127,9 @@
 	g.Name = fmt.Sprint("g", g.Number)
 	g.dir = filepath.Join(f.Dir, g.Name)
 	var err error
-	if g.listen, err = process.FreeAddr(); err == nil {
-		g.fleet, err = process.FreeAddr()
+	g.host = fmt.Sprintf("127.0.%d.%d", 1+g.Number/200, 10+g.Number%200)
+	if g.listen, err = process.FreeAddrOf(g.host); err == nil {
+		g.fleet, err = process.FreeAddrOf(g.host)
 	}
 	if err != nil {
 		return err
@@ -246,7 +248,7 @@
 // Start starts a gateway's process, and waits until it serves.
 func (g *Gateway) Start() error {
 	f := g.of
-	management, err := process.FreeAddr()
+	management, err := process.FreeAddrOf(g.host)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -136,8 +136,13 @@
 }
 
 // FreeAddr is an address that was free just now.
-func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func FreeAddr() (string, error) { return FreeAddrOf("127.0.0.1") }
+
+// FreeAddrOf is an address of a host's that was free just now. Of a host of its own,
+// such as 127.0.0.9, nobody takes it by chance before it is used, or while who had it is
+// down: others listen and call from 127.0.0.1.
+func FreeAddrOf(host string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
 	}
