--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"sync"
@@ -135,6 +136,82 @@
 	}
 }
 
+// What one gateway of a federation, or a stranger at its door, does wrong: the sum holds,
+// and what the others own stays theirs.
+func TestQuotaOddShapes(t *testing.T) {
+	const quota = 300.0
+	f, err := federation.Start(federation.Config{
+		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Partners: []int{1, 1, 1}, Parts: []float64{0.4, 0.3, 0.3},
+		Rate: quota, Burst: 30, Lease: time.Second, Seed: 2,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	clients.Go(func() { f.Ask(ctx) })
+	defer clients.Wait()
+	defer stop()
+	becomes := func(what string, part float64) {
+		t.Helper()
+		best := 0.0
+		for until := time.Now().Add(15 * time.Second); time.Now().Before(until) && best < part; {
+			from := time.Now()
+			<-time.After(time.Second)
+			best = max(best, float64(f.Ran(from))/(quota*time.Since(from).Seconds()))
+		}
+		if t.Logf("%s: %.2f of the quota", what, best); best < part {
+			t.Errorf("%s: %.2f is expected", what, part)
+		}
+	}
+	name := "quota.maps/" + federation.Team + "/"
+
+	f.Demand(600, 0)
+	becomes("all the demand at one", 0.9)
+
+	f.Set(0, 2, true, links.Fault{Cut: true}) // the first sees the second, that one the third
+	becomes("two of three see one another, in a row", 0.65)
+	f.Heal()
+
+	// A later program, noise, and many of each, from a stranger.
+	stranger, err := net.Dial("udp", f.Gateways[0].Fleet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	const userMessage = 8 // memberlist's
+	for i := range 20000 {
+		stranger.Write([]byte{userMessage, byte(2 + i%3), 0xa1, 0x01})
+		if i%100 == 0 {
+			<-time.After(time.Millisecond)
+		}
+	}
+	becomes("beside a flood of what can't be read", 0.9)
+	if n, _ := f.Gateways[0].Figure("messages_other_version"); n < 100 {
+		t.Errorf("%.0f messages of another version were counted", n)
+	}
+
+	f.Demand(200) // the steward, whoever it is, sleeps through several leases with what it believed
+	for _, g := range f.Gateways {
+		g.Process().Signal(syscall.SIGSTOP)
+		<-time.After(2500 * time.Millisecond)
+		g.Process().Signal(syscall.SIGCONT)
+	}
+	becomes("all awake again", 0.9)
+	if own, told := f.Gateways[0].Figure(name + ".own"); !told || own < 380 { // it wants more than it owns
+		t.Errorf("the first has %.0f thousandths of its 400", own)
+	}
+	stop()
+	clients.Wait()
+	if over, span := f.Overshoot(); over > 0 {
+		t.Errorf("%.0f more than the quota in %v", over, span)
+	}
+	if n, tally := f.Repeated(), f.Tally(); n > 0 || tally.Failed > 0 {
+		t.Errorf("%d keys ran twice, %+v", n, tally)
+	}
+}
+
 // A process that takes over has the place in the fleet once the one before lets it go,
 // and that one takes it again if the new one ends.
 func TestFleetUpgrade(t *testing.T) {
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -296,6 +297,21 @@
 	<-p.Ended
 }
 
+// Fleet is the address at which the gateway hears the others.
+func (g *Gateway) Fleet() string { return g.fleet }
+
+// Figure is a number of what the gateway's second address tells; false: it does not.
+func (g *Gateway) Figure(name string) (n float64, told bool) {
+	text, err := g.Figures()
+	if err != nil {
+		return 0, false
+	}
+	_, rest, found := strings.Cut(text, "node.fleet."+name+":")
+	value, _, _ := strings.Cut(rest, "|")
+	n, err = strconv.ParseFloat(value, 64)
+	return n, found && err == nil
+}
+
 // Figures are what the gateway's second address tells.
 func (g *Gateway) Figures() (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
