quota: what was ceded is given back as soon as nothing is granted on it

- giveBack asked for spare in every slot of the window, and the last ones never have any: "most-max(s.spare(s.now+window), 0)" was most at all times.
An owner that came back was granted its own part instead, and had it by itself only at its cession's end; with the steward lost meanwhile it had nothing until then.
- SetPlan looked gateways up in a list that it had just appended to: some stood there twice after a reload (TestPlanChanges).
- The warning of a name taken twice waits for more bumps than starts in a row bring; a socket that fails without end no longer spins.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -95,7 +95,7 @@
 	{"internal/fleet/quota/steward.go", "s.ceded[s.now%window], s.granted[s.now%window] = 0, 0", "s.granted[s.now%window] = 0", leases, exceeded},
 	{"internal/fleet/quota/steward.go", "e.incarnation == r.Incarnation && e.seq < r.Heard", "e.incarnation == r.Incarnation && e.seq <= r.Heard", leases, exceeded},
 	{"internal/fleet/quota/steward.go", "if !known || r.ToIncarnation != s.incarnation {", "if !known {", leases, exceeded},
-	{"internal/fleet/quota/steward.go", "to := max(a.offered, most-max(s.spare(s.now+window), 0))", "to := a.offered", leases, exceeded},
+	{"internal/fleet/quota/steward.go", "			to = max(to, most-(s.ceded[k%window]-s.granted[k%window]))\n", "			_ = most\n", leases, exceeded},
 	{"internal/fleet/quota/steward.go", "a.grants.most(k)+s.ceded[k%window]-s.granted[k%window]", "a.grants.most(k)+s.ceded[k%window]", leases, exceeded},
 	{"internal/fleet/quota/steward.go", "Relied: a.cessions.most(s.now),", "Relied: a.offered,", leases, exceeded},
 	{"internal/fleet/quota/steward.go", "		s.granted[i] += a.grants.most(s.now+int64(k)) - granted[k]\n", "", leases, exceeded},
--- a/internal/fleet/quota/partner_test.go
+++ b/internal/fleet/quota/partner_test.go
@@ -225,6 +225,54 @@
 	}
 }
 
+// An owner that comes back is told that what it ceded is not used any more, and has its
+// part by itself, well before the lease has ended.
+func TestGivenBack(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.5), "b": Of(0.25), "c": Of(0.25)}, map[string]int{"a": 1, "b": 1, "c": 1}, "a", "b", "c")
+	p := newPool(t, plan...)
+	p.demands = []Part{0, 0, Whole}
+	p.run(5 * time.Second)
+	if l := p.holders[1].Limit(p.now); l.Own > Of(0.01) {
+		t.Fatalf("it has not lent its part: %v", l)
+	}
+	p.demands[1] = Of(0.24)
+	p.run(3 * smallSet.Period)
+	if l := p.holders[1].Limit(p.now); l.Own < Of(0.24) {
+		t.Errorf("0.6 s after it has come back, of a lease of 1 s, it has %.3f by itself and %.3f granted", l.Own.Fraction(), l.Grant.Fraction())
+	}
+}
+
+// A plan that changes keeps what is known of those that stay, in whatever order it names
+// them, and counts what those that left were granted to its end.
+func TestPlanChanges(t *testing.T) {
+	plan := partnersOf(map[string]Part{"a": Of(0.4), "b": Of(0.3), "c": Of(0.3)}, map[string]int{"a": 2, "b": 1, "c": 1}, "a", "b", "c")
+	p := newPool(t, plan...)
+	p.demands = []Part{0, Whole, Of(0.1), 0}
+	p.run(5 * time.Second)
+	granted := p.steward.granted
+	next := []Gateway{{"d0", "d", Of(0.1)}, {"c0", "c", Of(0.3)}, {"a0", "a", Of(0.2)}, {"0", "e", 0}, {"b0", "b", Of(0.3)}}
+	p.steward.SetPlan(p.now, next) // the one that holds the grant has left
+	if p.steward.granted != granted {
+		t.Errorf("granted %v, before %v", p.steward.granted, granted)
+	}
+	names := map[string]int{}
+	for _, a := range p.steward.accounts {
+		names[a.Name]++
+		if a.left != (a.Name == "a1") || a.Name == "c0" && a.heard == 0 {
+			t.Errorf("%+v", *a)
+		}
+	}
+	for _, g := range append(next, plan[1]) {
+		if names[g.Name] != 1 || p.steward.account(g.Name) == nil {
+			t.Errorf("%s stands there %d times", g.Name, names[g.Name])
+		}
+	}
+	p.steward.SetPlan(p.now+2*smallSet.Lease, next)
+	if len(p.steward.accounts) != len(next) {
+		t.Errorf("%d accounts, %d gateways", len(p.steward.accounts), len(next))
+	}
+}
+
 // Hours of use leave nothing behind.
 func TestSoakOfLeases(t *testing.T) {
 	plan := partnersOf(map[string]Part{"a": Of(0.4), "b": Of(0.3), "c": Of(0.3)}, map[string]int{"a": 2, "b": 2, "c": 2}, "a", "b", "c")
--- a/internal/fleet/quota/steward.go
+++ b/internal/fleet/quota/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -86,11 +87,13 @@
 // counted to its end.
 func (s *Steward) SetPlan(now time.Duration, plan []Gateway) {
 	s.advance(now)
+	named := make(map[string]*account, len(s.accounts))
 	for _, a := range s.accounts {
 		a.left, a.Part = true, 0
+		named[a.Name] = a
 	}
 	for _, g := range plan {
-		a := s.account(g.Name)
+		a := named[g.Name]
 		if a == nil {
 			a = &account{}
 			s.accounts = append(s.accounts, a)
@@ -100,7 +103,7 @@
 	s.accounts = slices.DeleteFunc(s.accounts, func(a *account) bool {
 		return a.left && a.grants.most(s.now) == 0 && a.cessions.most(s.now) == 0
 	})
-	slices.SortFunc(s.accounts, func(a, b *account) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(s.accounts, func(a, b *account) int { return strings.Compare(a.Name, b.Name) })
 	old := s.partners
 	s.partners = nil
 	for _, a := range s.accounts {
@@ -117,18 +120,8 @@
 	s.due = true
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (s *Steward) account(name string) *account {
-	i, found := slices.BinarySearchFunc(s.accounts, name, func(a *account, n string) int { return compare(a.Name, n) })
+	i, found := slices.BinarySearchFunc(s.accounts, name, func(a *account, n string) int { return strings.Compare(a.Name, n) })
 	if !found {
 		return nil
 	}
@@ -232,14 +225,24 @@
 	return r
 }
 
-// giveBack uses no more of what a gateway has ceded than it offers now, as far as what
-// is granted allows.
+// needed is the least to which what a gateway has ceded can be cut: what it offers now,
+// and what is granted on more than that.
+func (s *Steward) needed(a *account) Part {
+	to := a.offered
+	for k := s.now; k < s.now+window; k++ {
+		if most := a.cessions.most(k); most > a.offered {
+			to = max(to, most-(s.ceded[k%window]-s.granted[k%window]))
+		}
+	}
+	return to
+}
+
+// giveBack uses no more of what a gateway has ceded than is needed.
 func (s *Steward) giveBack(a *account) {
-	most := a.cessions.most(s.now)
-	if most <= a.offered {
+	to := s.needed(a)
+	if to >= a.cessions.most(s.now) {
 		return
 	}
-	to := max(a.offered, most-max(s.spare(s.now+window), 0))
 	s.change(a, func() {
 		for i := range a.cessions {
 			a.cessions[i].amount = min(a.cessions[i].amount, to)
@@ -322,7 +325,7 @@
 	switch spare := s.spare(s.now + grantSlots); {
 	case waits && held > 0 && want < last: // told once: the next report shows that it was taken
 		return true
-	case a.owed && s.spare(s.now+window) > 0:
+	case a.owed && s.needed(a) < a.cessions.most(s.now):
 		return true
 	case !waits && want > held && min(want-held, spare) > want/8:
 		return true
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -61,7 +61,8 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			continue // such as a refusal by a peer that is gone
+			t.rest()
+			continue
 		}
 		p := &memberlist.Packet{Buf: append([]byte(nil), b[:n]...), From: from, Timestamp: time.Now()}
 		select {
@@ -79,10 +80,7 @@
 			return
 		}
 		if err != nil {
-			select {
-			case <-time.After(5 * time.Millisecond): // a want of descriptors that passes
-			case <-t.closing:
-			}
+			t.rest()
 			continue
 		}
 		select {
@@ -93,6 +91,14 @@
 	}
 }
 
+// rest waits after an error, such as a want of descriptors, that may pass.
+func (t *transport) rest() {
+	select {
+	case <-time.After(5 * time.Millisecond):
+	case <-t.closing:
+	}
+}
+
 // FinalAdvertiseAddr tells the address that this process listens at.
 func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
 	at := t.tcp.Addr().(*net.TCPAddr)
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -79,9 +79,10 @@
 		}
 		return out
 	}
+	const starts = 3 // of one process after another, each of which may be told of the one before
 	before := c.holder.Bumped()
 	hurry := c.holder.Take(f.now(), *m.Reply)
-	if c.holder.Bumped() > max(before, 1) && !f.twice.Swap(true) {
+	if c.holder.Bumped() > max(before, starts) && !f.twice.Swap(true) {
 		slog.Error("fleet: another process has this gateway's name: each takes the part of both for its own", "name", f.config.Name)
 	}
 	if f.enforce(c); hurry {
