--- a/internal/fleet/quota/late_test.go
+++ b/internal/fleet/quota/late_test.go
@@ -69,4 +69,28 @@
 			t.Errorf("  1. a report comes late, to a steward that has started anew:\nthen: all together may admit more than the quota\nit relies on %v in slot %d, when the owner has it back", s.account("b").cessions, after)
 		}
 	})
+	t.Run("of a gateway that has just started", func(t *testing.T) {
+		s := NewSteward(0, set, "a", 1, plan)
+		now := 1500 * ms
+		h, other := NewHolder(now, set, "b", 1, Whole/4), NewHolder(0, set, "c", 1, Whole/4)
+		ceded := Part(0)
+		for ; now < 2500*ms; now += 100 * ms { // what its former self ceded may be in use, through another steward
+			tell(s, other, now, Whole)
+			tell(s, h, now, 0)
+			r, _ := h.Again(now)
+			ceded = max(ceded, r.Cede)
+		}
+		if ceded > 0 {
+			t.Errorf("  1. a gateway that may have ceded its part starts, and cedes it again:\nthen: all together may admit more than the quota\nit cedes %v", ceded)
+		}
+		for ; now < 4*time.Second && ceded == 0; now += 100 * ms {
+			tell(s, other, now, Whole)
+			tell(s, h, now, 0)
+			r, _ := h.Again(now)
+			ceded = r.Cede
+		}
+		if ceded == 0 {
+			t.Error("nor does it cede anything later")
+		}
+	})
 }
