quota: one guard in place of two against words of a steward that was left

The mutant without "h.sent.first = h.sent.seq + 1" in choose was found by no order, as the anchor that only rises turns the same words away: the line is out, and the mutant is of the anchor (TestLateWord finds it).

sidecar: TestClassDroppedWhileOpen read the figures before the last request was counted, which comes after its answer (failed once on two cores beside other load; the program is as it was).

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -86,7 +86,7 @@
 	{"internal/fleet/quota/holder.go", " || now < h.fresh || h.ask <= 0", " || h.ask <= 0", leases, exceeded},
 	{"internal/fleet/quota/holder.go", "clamp(r.Grant), at+r.For", "clamp(r.Grant), now+r.For", leases, exceeded},
 	{"internal/fleet/quota/holder.go", "e.seq <= r.Heard && ", "", leases, exceeded},
-	{"internal/fleet/quota/holder.go", "		h.sent.first = h.sent.seq + 1 // what was told the one before counts for nothing\n", "", leases, exceeded},
+	{"internal/fleet/quota/holder.go", "		if r.Heard <= h.anchor {\n", "		if false {\n", leases, exceeded},
 	{"internal/fleet/quota/holder.go", "		sum += h.ceded[i].entries.most(int64(now))", "		sum = h.ceded[i].entries.most(int64(now))", leases, exceeded},
 	{"internal/fleet/quota/holder.go", "h.part-keep-others", "h.part-keep", leases, exceeded},
 	{"internal/fleet/quota/holder.go", "	if r.Seq <= h.heard {\n", "	if false {\n", leases, exceeded},
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -147,7 +147,6 @@
 	}
 	if best != h.steward {
 		h.steward, h.stewardIs, h.heard, h.heardAt, h.ask = best, 0, 0, now, 0
-		h.sent.first = h.sent.seq + 1 // what was told the one before counts for nothing
 	}
 }
 
--- a/internal/sidecar/retune_test.go
+++ b/internal/sidecar/retune_test.go
@@ -97,8 +97,12 @@
 			t.Errorf("one that was open is answered %d", status)
 		}
 	}
-	if text := must(t, s, "show-stat"); !strings.Contains(text, fmt.Sprintf("node.downstream_requests.closure.completed:%d|c", open+1)) {
-		t.Errorf("%s", text)
+	// The last one may be counted after its client has read the answer.
+	want := fmt.Sprintf("node.downstream_requests.closure.completed:%d|c", open+1)
+	for until := time.Now().Add(patience); !strings.Contains(must(t, s, "show-stat"), want); <-time.After(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%s is expected in\n%s", want, must(t, s, "show-stat"))
+		}
 	}
 }
 
