fleet: figures for Prometheus and spokegw status; when to come back to a small part

- spokegw_fleet_up, _quota and _messages_unused_total; status and top have a table of the quotas.
A team's name with a colon made show-stat unreadable to status.
- Who is refused by a small part of a shared limit was told to come back when that part lets another in, minutes later where it is tiny; parts move within a second, so that is the most that is told (TestPartEnds).

--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -221,7 +223,7 @@
 [[service]]
 name = "maps"
 [[team]]
-name = "agencies"
+name = "a:gencies"
 [[team.allow]]
 service = "maps"
 rate = 100
@@ -239,7 +241,7 @@
 partner = "p"
 address = %q
 `, at, at))
-	const whole = "node.fleet.quota.maps/agencies/.own:1000|g"
+	const whole = "node.fleet.quota.maps/a_gencies/.own:1000|g"
 	has := func(p *running, what string) {
 		t.Helper()
 		for until := time.Now().Add(patience); !strings.Contains(p.ask(t, "show-stat"), whole); <-time.After(10 * time.Millisecond) {
@@ -251,6 +253,11 @@
 	old := s.start()
 	old.ready(t)
 	has(old, "the first process")
+	status := exec.Command(os.Args[0], "status", "--management", old.Management)
+	status.Env = append(os.Environ(), "RUN_SPOKEGW=1")
+	if text, err := status.CombinedOutput(); err != nil || !regexp.MustCompile(`fleet +1 up\n(.*\n)?maps/a_gencies/ +1\.000 +0\.000 +0\.000\n`).Match(text) {
+		t.Errorf("status: %v\n%s", err, text)
+	}
 	next := s.start()
 	next.ready(t)
 	has(next, "the one that took over")
--- a/cmd/spokegw/operate.go
+++ b/cmd/spokegw/operate.go
@@ -134,11 +134,17 @@
 }
 
 // classes are the names of the classes that there are figures of.
-func (l *look) classes() (names []string) {
+func (l *look) classes() []string { return l.between("downstream_requests.", ".completed") }
+
+// quotas are the names of the fleet's quotas that there are figures of.
+func (l *look) quotas() []string { return l.between("fleet.quota.", ".own") }
+
+// between are the parts of figures' names between what they begin and end with.
+func (l *look) between(begin, end string) (names []string) {
 	for name := range l.figures {
-		if rest, ok := strings.CutPrefix(name, "downstream_requests."); ok {
-			if class, ok := strings.CutSuffix(rest, ".completed"); ok {
-				names = append(names, class)
+		if rest, ok := strings.CutPrefix(name, begin); ok {
+			if part, ok := strings.CutSuffix(rest, end); ok {
+				names = append(names, part)
 			}
 		}
 	}
@@ -206,6 +212,14 @@
 	fmt.Fprintf(w, "ready\t%s\npending\t%.0f\nattempts\t%s\nmembers\t%.0f, %.0f avoided\nreloads\t%.0f, %.0f turned down\n\n",
 		l.ready, l.figures["pending"], count("upstream_requests"), l.figures["members"], l.figures["members_unavailable"],
 		l.figures["config_reloads"], l.figures["config_reload_errors"])
+	if up, part := l.figures["fleet.up"]; part {
+		fmt.Fprintf(w, "fleet\t%.0f up\nQUOTA\tOWN\tGRANTED\tDEMAND\n", up)
+		for _, name := range l.quotas() {
+			of := func(what string) float64 { return l.figures["fleet.quota."+name+"."+what] / 1000 }
+			fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\n", name, of("own"), of("granted"), of("demand"))
+		}
+		fmt.Fprintln(w)
+	}
 	fmt.Fprintln(w, "CLASS\tCOMPLETED\tREJECTED\tFAILED")
 	for _, class := range l.classes() {
 		of := func(outcome string) string { return count("downstream_requests." + class + "." + outcome) }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -257,6 +257,9 @@
 	}
 	requests, perWork := c.requestLimit(), c.workLimit()
 	if wait := max(c.requests.wait(b.now, requests, 1), c.work.wait(b.now, perWork, work)); wait > 0 {
+		if c.Shared { // a larger part may be here sooner than this one lets another in
+			wait = min(wait, noPartWait)
+		}
 		return Ticket{}, Verdict{Kind: OverRate, After: wait}
 	}
 	within := b.capacity.tight && b.shares.asks(&a.share, b.capacity.owedRate(), work)
--- a/internal/broker/part_test.go
+++ b/internal/broker/part_test.go
@@ -98,6 +98,10 @@
 	if n := admits(time.Second); n != 0 {
 		t.Errorf("%d with no part", n)
 	}
+	b.SetPart(time.Second, "a", 0, 1e-6, 0, 0)
+	if _, v := b.Admit(time.Second, "a", 0, 0.001); v.Kind != OverRate || v.After > time.Second {
+		t.Errorf("with a tiny part, which may grow at any time: %+v", v)
+	}
 	b.SetPart(time.Second, "a", 0, 0.1, 0.9, 3*time.Second)
 	if n := admits(time.Second); n > 0 {
 		t.Errorf("%d at once, of a part that has just come", n)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,17 +35,34 @@
 	members      = prometheus.NewDesc("spokegw_members", "Endpoints in the list.", nil, nil)
 	unavailable  = prometheus.NewDesc("spokegw_members_unavailable", "Endpoints in the list that are avoided.", nil, nil)
 	reloads      = prometheus.NewDesc("spokegw_config_reloads_total", "Files taken at SIGHUP.", nil, nil)
+	fleetUp      = prometheus.NewDesc("spokegw_fleet_up", "Gateways of the fleet that are taken to be up, this one too.", nil, nil)
+	fleetQuota   = prometheus.NewDesc("spokegw_fleet_quota", "Fractions of a quota: what this gateway may use of its own, what was granted to it, what it could use.", []string{"quota", "part"}, nil)
+	fleetLost    = prometheus.NewDesc("spokegw_fleet_messages_unused_total", "Messages of the fleet that were not used, by reason.", []string{"reason"}, nil)
 	reloadErrors = prometheus.NewDesc("spokegw_config_reload_errors_total", "Files turned down at SIGHUP.", nil, nil)
 )
 
+// Fleet are figures of a fleet.
+type Fleet struct {
+	Up                            int // gateways, this one too
+	Dropped, Broken, OtherVersion uint64
+	Quotas                        []Quota
+}
+
+// Quota is where one quota stands, in fractions of it.
+type Quota struct {
+	Name                 string
+	Own, Granted, Demand float64
+}
+
 // collector reads the figures.
 type collector struct {
 	figures *figures.Figures
 	members func() figures.Members
+	fleet   func() *Fleet // nil result: there is none
 }
 
 func (c *collector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, reloads, reloadErrors} {
+	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, reloads, reloadErrors, fleetUp, fleetQuota, fleetLost} {
 		to <- d
 	}
 }
@@ -70,6 +87,19 @@
 	m := c.members()
 	gauge(members, float64(m.Listed))
 	gauge(unavailable, float64(m.Unavailable))
+	f := c.fleet()
+	if f == nil {
+		return
+	}
+	gauge(fleetUp, float64(f.Up))
+	count(fleetLost, f.Dropped, "no room")
+	count(fleetLost, f.Broken, "broken")
+	count(fleetLost, f.OtherVersion, "other version")
+	for _, q := range f.Quotas {
+		gauge(fleetQuota, q.Own, q.Name, "own")
+		gauge(fleetQuota, q.Granted, q.Name, "granted")
+		gauge(fleetQuota, q.Demand, q.Name, "demand")
+	}
 }
 
 // Server answers GET /metrics.
@@ -78,10 +108,10 @@
 	server   *http.Server
 }
 
-// Listen opens the address.
-func Listen(addr string, f *figures.Figures, members func() figures.Members) (*Server, error) {
+// Listen opens the address. fleet returns nil while there is none.
+func Listen(addr string, f *figures.Figures, members func() figures.Members, fleet func() *Fleet) (*Server, error) {
 	registry := prometheus.NewPedanticRegistry()
-	if err := registry.Register(&collector{f, members}); err != nil {
+	if err := registry.Register(&collector{f, members, fleet}); err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
 	l, err := net.Listen("tcp", addr)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -22,7 +22,8 @@
 	}
 	c.End(figures.Completed)
 	c.End(figures.Rejected)
-	s, err := Listen("127.0.0.1:0", f, func() figures.Members { return figures.Members{Listed: 4, Unavailable: 1} })
+	s, err := Listen("127.0.0.1:0", f, func() figures.Members { return figures.Members{Listed: 4, Unavailable: 1} },
+		func() *Fleet { return &Fleet{Up: 3, Broken: 2, Quotas: []Quota{{Name: "maps/a/", Own: 0.25}}} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,6 +50,7 @@
 	for _, line := range []string{
 		`spokegw_downstream_requests_total{class="odd\"class",outcome="completed"} 1`, `spokegw_downstream_taken_total{class="odd\"class"} 3`,
 		`spokegw_pending{class="odd\"class"} 1`, "spokegw_members 4", "spokegw_members_unavailable 1", "spokegw_config_reloads_total 0",
+		"spokegw_fleet_up 3", `spokegw_fleet_messages_unused_total{reason="broken"} 2`, `spokegw_fleet_quota{part="own",quota="maps/a/"} 0.25`,
 	} {
 		if !strings.Contains(string(text), line+"\n") {
 			t.Errorf("%s is missing in\n%s", line, text)
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -12,6 +12,7 @@
 	"spokegw/internal/core"
 	"spokegw/internal/fleet"
 	"spokegw/internal/fleet/quota"
+	"spokegw/internal/metrics"
 	"spokegw/internal/operator"
 )
 
@@ -198,27 +199,37 @@
 	}
 }
 
-// fleetFigures are figures of the fleet, for show-stat: parts are in thousandths of a quota.
-func (s *Sidecar) fleetFigures() string {
+// fleetNow are the fleet's figures; nil: this process takes no part in one.
+func (s *Sidecar) fleetNow() *metrics.Fleet {
 	if s.shared == nil {
-		return ""
+		return nil
 	}
 	f := s.shared.fleet.Load()
 	if f == nil {
-		return ""
+		return nil
 	}
 	status, counts := f.Status(), f.Counts()
-	var b strings.Builder
-	fmt.Fprintf(&b, "node.fleet.up:%d|g\nnode.fleet.messages_dropped:%d|c\nnode.fleet.messages_broken:%d|c\nnode.fleet.messages_other_version:%d|c\n",
-		len(status.Up)+1, counts.Dropped, counts.Broken, counts.OtherVersion)
+	now := &metrics.Fleet{Up: len(status.Up) + 1, Dropped: counts.Dropped, Broken: counts.Broken, OtherVersion: counts.OtherVersion}
 	for _, c := range s.shared.config.Contracts {
 		st := status.Contracts[c.Name]
-		for _, v := range []struct {
-			name string
-			part quota.Part
-		}{{"own", st.Own}, {"granted", st.Grant}, {"demand", st.Demand}} {
-			fmt.Fprintf(&b, "node.fleet.quota.%s.%s:%.0f|g\n", word(c.Name), v.name, 1000*v.part.Fraction())
-		}
+		now.Quotas = append(now.Quotas, metrics.Quota{Name: c.Name, Own: st.Own.Fraction(), Granted: st.Grant.Fraction(), Demand: st.Demand.Fraction()})
+	}
+	return now
+}
+
+// fleetFigures are the same for show-stat: parts are in thousandths of a quota.
+func (s *Sidecar) fleetFigures() string {
+	f := s.fleetNow()
+	if f == nil {
+		return ""
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "node.fleet.up:%d|g\nnode.fleet.messages_dropped:%d|c\nnode.fleet.messages_broken:%d|c\nnode.fleet.messages_other_version:%d|c\n",
+		f.Up, f.Dropped, f.Broken, f.OtherVersion)
+	for _, q := range f.Quotas {
+		name := strings.NewReplacer(":", "_", "|", "_").Replace(word(q.Name)) // they set a figure's value apart
+		fmt.Fprintf(&b, "node.fleet.quota.%s.own:%.0f|g\nnode.fleet.quota.%s.granted:%.0f|g\nnode.fleet.quota.%s.demand:%.0f|g\n",
+			name, 1000*q.Own, name, 1000*q.Granted, name, 1000*q.Demand)
 	}
 	return b.String()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -171,7 +171,7 @@
 	if s.config.Operator == nil || s.config.Operator.Metrics == "" {
 		return nil, nil
 	}
-	return metrics.Listen(s.config.Operator.Metrics, s.figures, s.members)
+	return metrics.Listen(s.config.Operator.Metrics, s.figures, s.members, s.fleetNow)
 }
 
 // serveMetrics tells the figures until ctx ends, once the process before this
