cmd/spokegw: what was lent is not used twice by owners that come back or start anew

TestQuotaOverProcesses did not fail with a holder that ignores what it has ceded: its leases are so short that twice the use of them is within what the endpoints allow for.

--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -138,6 +138,54 @@
 	}
 }
 
+// The others lend nearly all to one gateway, which then is cut off with it while they all
+// want their parts back, one of them as a new process that knows nothing of what it lent:
+// nobody uses them until what was lent has ended. The lease is so long that twice the use
+// of them would be far over what the endpoints allow for.
+func TestLentIsNotUsedTwice(t *testing.T) {
+	const quota = 300.0
+	f, err := federation.Start(federation.Config{
+		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Partners: []int{1, 1, 1}, Parts: []float64{0.2, 0.4, 0.4},
+		Rate: quota, Burst: 30, Lease: 5 * time.Second, Seed: 3,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	clients.Go(func() { f.Ask(ctx) })
+	defer clients.Wait()
+	defer stop()
+	share := func(d time.Duration) float64 {
+		from := time.Now()
+		<-time.After(d)
+		return float64(f.Ran(from)) / (quota * time.Since(from).Seconds())
+	}
+	f.Demand(600, 0)
+	for until := time.Now().Add(20 * time.Second); share(time.Second) < 0.9; {
+		if time.Now().After(until) {
+			t.Fatal("nothing is lent")
+		}
+	}
+	f.Demand(600, 400, 400)
+	f.Set(0, 1, true, links.Fault{Cut: true})
+	f.Set(0, 2, true, links.Fault{Cut: true})
+	f.Gateways[1].Kill()
+	if err := f.Gateways[1].Start(); err != nil {
+		t.Fatal(err)
+	}
+	<-time.After(6 * time.Second) // what was lent has ended
+	if used := share(2 * time.Second); used < 0.9 {
+		t.Errorf("once what was lent has ended %.2f of the quota is used", used)
+	}
+	stop()
+	clients.Wait()
+	if over, span := f.Overshoot(); over > 0 {
+		t.Errorf("%.0f more than the quota in %v", over, span)
+	}
+}
+
 // What one gateway of a federation, or a stranger at its door, does wrong: the sum holds,
 // and what the others own stays theirs.
 func TestQuotaOddShapes(t *testing.T) {
