--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -17,63 +17,95 @@
 	"spokegw/internal/lab/links"
 )
 
-// Five processes of three partners share one quota while links are cut, lose and delay,
-// and processes are killed, paused and started anew. In no span do all together let out
-// more than the quota; what is connected uses it; nothing runs twice, and each request
-// has its answer but where its process was killed or stood still.
-func TestQuotaOverProcesses(t *testing.T) {
-	const quota = 300.0
-	f, err := federation.Start(federation.Config{
-		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Partners: []int{2, 2, 1}, Parts: []float64{0.4, 0.4, 0.2},
-		Rate: quota, Burst: 30, Lease: time.Second, Seed: 1,
-	})
+// gathering is a federation whose clients ask all the time.
+type gathering struct {
+	*federation.Federation
+	t    *testing.T
+	stop func() // ends the clients, once they have their answers
+}
+
+// gather starts a federation of processes, and clients that ask for nothing yet.
+func gather(t *testing.T, c federation.Config) *gathering {
+	t.Helper()
+	c.Program, c.Env, c.Dir = os.Args[0], []string{"RUN_SPOKEGW=1"}, t.TempDir()
+	f, err := federation.Start(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
-	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	clients.Go(func() { f.Ask(ctx) })
-	defer clients.Wait()
-	defer stop()
+	g := &gathering{f, t, func() { cancel(); clients.Wait() }}
+	t.Cleanup(g.stop)
+	return g
+}
+
+// used is the part of the quota that is used over a time.
+func (g *gathering) used(d time.Duration) float64 {
+	from := time.Now()
+	<-time.After(d)
+	return float64(g.Ran(from)) / (g.Rate * time.Since(from).Seconds())
+}
 
-	// used is the part of the quota that is used over a time.
-	used := func(d time.Duration) float64 {
-		from := time.Now()
-		<-time.After(d)
-		return float64(f.Ran(from)) / (quota * time.Since(from).Seconds())
+// becomes waits until as much is used in a second as there should be.
+func (g *gathering) becomes(what string, part float64) {
+	g.t.Helper()
+	best := 0.0
+	for until := time.Now().Add(15 * time.Second); time.Now().Before(until) && best < part; {
+		best = max(best, g.used(time.Second))
 	}
-	// becomes waits until as much is used as there should be.
-	becomes := func(what string, part float64) {
-		t.Helper()
-		best := 0.0
-		for until := time.Now().Add(15 * time.Second); time.Now().Before(until); {
-			if best = max(best, used(time.Second)); best >= part {
-				t.Logf("%s: %.2f of the quota", what, best)
-				return
-			}
-		}
-		t.Errorf("%s: %.2f of the quota is used at most, %.2f is expected", what, best, part)
+	if g.t.Logf("%s: %.2f of the quota", what, best); best < part {
+		g.t.Errorf("%s: %.2f is expected", what, part)
+	}
+}
+
+// check ends the clients: in no span was more let out than the quota, nothing ran twice,
+// and each request has its answer but where its process was killed or stood still.
+func (g *gathering) check() {
+	g.t.Helper()
+	g.stop()
+	tally := g.Tally()
+	g.t.Logf("%+v", tally)
+	if over, span := g.Overshoot(); over > 0 {
+		g.t.Errorf("%.0f more than the quota in %v", over, span)
+	}
+	if n := g.Repeated(); n > 0 {
+		g.t.Errorf("%d keys ran twice", n)
+	}
+	if tally.Failed > 0 || tally.Other > tally.Asked/100 {
+		g.t.Errorf("%d of %d had no answer, %d an unexpected one", tally.Failed, tally.Asked, tally.Other)
 	}
+}
+
+// Five processes of three partners share one quota while links are cut, lose and delay,
+// and processes are killed, paused and started anew. In no span do all together let out
+// more than the quota; what is connected uses it; nothing runs twice, and each request
+// has its answer but where its process was killed or stood still.
+func TestQuotaOverProcesses(t *testing.T) {
+	f := gather(t, federation.Config{
+		Partners: []int{2, 2, 1}, Parts: []float64{0.4, 0.4, 0.2},
+		Rate: 300, Burst: 30, Lease: time.Second, Seed: 1,
+	})
 
 	f.Demand(600, 0)
-	becomes("all the demand at one", 0.9)
+	f.becomes("all the demand at one", 0.9)
 	f.Demand(300)
-	becomes("all want more than there is", 0.9)
+	f.becomes("all want more than there is", 0.9)
 
 	for _, a := range []int{0, 1} { // two of one side, three of the other
 		for _, b := range []int{2, 3, 4} {
 			f.Set(a, b, true, links.Fault{Cut: true})
 		}
 	}
-	used(3 * time.Second)
+	f.used(3 * time.Second)
 	f.Demand(600, 0)
-	becomes("cut in two, the demand on the side that owns 0.4", 0.36)
-	if u := used(time.Second); u > 0.5 {
+	f.becomes("cut in two, the demand on the side that owns 0.4", 0.36)
+	if u := f.used(time.Second); u > 0.5 {
 		t.Errorf("a side that owns 0.4 used %.2f", u)
 	}
 	f.Heal()
-	becomes("healed", 0.9)
+	f.becomes("healed", 0.9)
 
 	for _, g := range f.Gateways { // whoever is steward is among them
 		g.Process().Signal(syscall.SIGSTOP)
@@ -92,7 +124,7 @@
 	if err := f.Gateways[1].Start(); err != nil {
 		t.Fatal(err)
 	}
-	used(2 * time.Second)
+	f.used(2 * time.Second)
 	f.Heal()
 	f.Demand(500, 0)
 	for _, g := range f.Gateways { // all at once
@@ -103,7 +135,7 @@
 			t.Fatal(err)
 		}
 	}
-	becomes("after all were started anew", 0.9)
+	f.becomes("after all were started anew", 0.9)
 
 	owns := func(want string) bool {
 		text, err := f.Gateways[0].Figures()
@@ -116,26 +148,13 @@
 		if err := f.SetParts(parts...); err != nil {
 			t.Fatal(err)
 		}
-		used(2 * time.Second)
+		f.used(2 * time.Second)
 	}
 	if !owns("250") {
 		t.Error("after the parts changed the first gateway does not own 0.25")
 	}
-	becomes("after a partner has left", 0.9)
-	stop()
-	clients.Wait()
-
-	tally := f.Tally()
-	t.Logf("%+v", tally)
-	if over, span := f.Overshoot(); over > 0 {
-		t.Errorf("%.0f more than the quota in %v", over, span)
-	}
-	if n := f.Repeated(); n > 0 {
-		t.Errorf("%d keys ran twice", n)
-	}
-	if tally.Failed > 0 || tally.Other > tally.Asked/100 {
-		t.Errorf("%d of %d had no answer, %d an unexpected one", tally.Failed, tally.Asked, tally.Other)
-	}
+	f.becomes("after a partner has left", 0.9)
+	f.check()
 }
 
 // The others lend nearly all to one gateway, which then is cut off with it while they all
@@ -143,27 +162,12 @@
 // nobody uses them until what was lent has ended. The lease is so long that twice the use
 // of them would be far over what the endpoints allow for.
 func TestLentIsNotUsedTwice(t *testing.T) {
-	const quota = 300.0
-	f, err := federation.Start(federation.Config{
-		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Partners: []int{1, 1, 1}, Parts: []float64{0.2, 0.4, 0.4},
-		Rate: quota, Burst: 30, Lease: 5 * time.Second, Seed: 3,
+	f := gather(t, federation.Config{
+		Partners: []int{1, 1, 1}, Parts: []float64{0.2, 0.4, 0.4},
+		Rate: 300, Burst: 30, Lease: 5 * time.Second, Seed: 3,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	ctx, stop := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	clients.Go(func() { f.Ask(ctx) })
-	defer clients.Wait()
-	defer stop()
-	share := func(d time.Duration) float64 {
-		from := time.Now()
-		<-time.After(d)
-		return float64(f.Ran(from)) / (quota * time.Since(from).Seconds())
-	}
 	f.Demand(600, 0)
-	for until := time.Now().Add(20 * time.Second); share(time.Second) < 0.9; {
+	for until := time.Now().Add(20 * time.Second); f.used(time.Second) < 0.9; {
 		if time.Now().After(until) {
 			t.Fatal("nothing is lent")
 		}
@@ -176,52 +180,26 @@
 		t.Fatal(err)
 	}
 	<-time.After(6 * time.Second) // what was lent has ended
-	if used := share(2 * time.Second); used < 0.9 {
+	if used := f.used(2 * time.Second); used < 0.9 {
 		t.Errorf("once what was lent has ended %.2f of the quota is used", used)
 	}
-	stop()
-	clients.Wait()
-	if over, span := f.Overshoot(); over > 0 {
-		t.Errorf("%.0f more than the quota in %v", over, span)
-	}
+	f.check()
 }
 
 // What one gateway of a federation, or a stranger at its door, does wrong: the sum holds,
 // and what the others own stays theirs.
 func TestQuotaOddShapes(t *testing.T) {
-	const quota = 300.0
-	f, err := federation.Start(federation.Config{
-		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Partners: []int{1, 1, 1}, Parts: []float64{0.4, 0.3, 0.3},
-		Rate: quota, Burst: 30, Lease: time.Second, Seed: 2,
+	f := gather(t, federation.Config{
+		Partners: []int{1, 1, 1}, Parts: []float64{0.4, 0.3, 0.3},
+		Rate: 300, Burst: 30, Lease: time.Second, Seed: 2,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	ctx, stop := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	clients.Go(func() { f.Ask(ctx) })
-	defer clients.Wait()
-	defer stop()
-	becomes := func(what string, part float64) {
-		t.Helper()
-		best := 0.0
-		for until := time.Now().Add(15 * time.Second); time.Now().Before(until) && best < part; {
-			from := time.Now()
-			<-time.After(time.Second)
-			best = max(best, float64(f.Ran(from))/(quota*time.Since(from).Seconds()))
-		}
-		if t.Logf("%s: %.2f of the quota", what, best); best < part {
-			t.Errorf("%s: %.2f is expected", what, part)
-		}
-	}
 	name := "quota.maps/" + federation.Team + "/"
 
 	f.Demand(600, 0)
-	becomes("all the demand at one", 0.9)
+	f.becomes("all the demand at one", 0.9)
 
 	f.Set(0, 2, true, links.Fault{Cut: true}) // the first sees the second, that one the third
-	becomes("two of three see one another, in a row", 0.65)
+	f.becomes("two of three see one another, in a row", 0.65)
 	f.Heal()
 
 	// A later program, noise, and many of each, from a stranger.
@@ -237,7 +215,7 @@
 			<-time.After(time.Millisecond)
 		}
 	}
-	becomes("beside a flood of what can't be read", 0.9)
+	f.becomes("beside a flood of what can't be read", 0.9)
 	if n, _ := f.Gateways[0].Figure("messages_other_version"); n < 100 {
 		t.Errorf("%.0f messages of another version were counted", n)
 	}
@@ -248,18 +226,11 @@
 		<-time.After(2500 * time.Millisecond)
 		g.Process().Signal(syscall.SIGCONT)
 	}
-	becomes("all awake again", 0.9)
+	f.becomes("all awake again", 0.9)
 	if own, told := f.Gateways[0].Figure(name + ".own"); !told || own < 380 { // it wants more than it owns
 		t.Errorf("the first has %.0f thousandths of its 400", own)
 	}
-	stop()
-	clients.Wait()
-	if over, span := f.Overshoot(); over > 0 {
-		t.Errorf("%.0f more than the quota in %v", over, span)
-	}
-	if n, tally := f.Repeated(), f.Tally(); n > 0 || tally.Failed > 0 {
-		t.Errorf("%d keys ran twice, %+v", n, tally)
-	}
+	f.check()
 }
 
 // A process that takes over has the place in the fleet once the one before lets it go,
