lab: links and clients of a federation are the relay and the load that there were

links.Link had a relay of datagrams of its own beside lab.Relay, and a federation clients of its own beside lab.Load: both are used now, and a relay's plan can be changed as it goes. Requests without an answer are told apart by the spans in which their process was down, no longer by a look before and after.

Tests wait for what is to be so: figures of the processes, the limits that a fleet sets, clients greeted.

--- a/bench/federation/main.go
+++ b/bench/federation/main.go
@@ -13,7 +13,6 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -88,7 +87,7 @@
 					return err
 				}
 			case 1:
-				g.Process().Signal(syscall.SIGSTOP)
+				g.Pause()
 			}
 		}
 		return nil
@@ -96,7 +95,7 @@
 	{"which goes on", func(f *federation.Federation, rate float64) error {
 		for i, g := range f.Gateways {
 			if i%3 == 1 {
-				g.Process().Signal(syscall.SIGCONT)
+				g.GoOn()
 			}
 		}
 		return nil
--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -9,7 +9,6 @@
 	"regexp"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +47,27 @@
 	return float64(g.Ran(from)) / (g.Rate * time.Since(from).Seconds())
 }
 
+// until waits until something is so at the processes, which tell when they are asked.
+func (g *gathering) until(what string, so func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); !so(); <-time.After(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("%s: not so after %v", what, patience)
+		}
+	}
+}
+
+// figure is a number of a gateway's; -1: it tells none.
+func (g *gathering) figure(gateway int, name string) float64 {
+	if n, told := g.Gateways[gateway].Figure(name); told {
+		return n
+	}
+	return -1
+}
+
+// quotaFigure is what the figures of the one quota begin with; they are thousandths.
+const quotaFigure = "quota.maps/" + federation.Team + "/."
+
 // becomes waits until as much is used in a second as there should be.
 func (g *gathering) becomes(what string, part float64) {
 	g.t.Helper()
@@ -98,8 +118,11 @@
 			f.Set(a, b, true, links.Fault{Cut: true})
 		}
 	}
-	f.used(3 * time.Second)
 	f.Demand(600, 0)
+	f.until("what the other side lent has ended", func() bool {
+		has := f.figure(0, quotaFigure+"own") + f.figure(0, quotaFigure+"granted")
+		return has > 360 && has <= 400
+	})
 	f.becomes("cut in two, the demand on the side that owns 0.4", 0.36)
 	if u := f.used(time.Second); u > 0.5 {
 		t.Errorf("a side that owns 0.4 used %.2f", u)
@@ -108,9 +131,9 @@
 	f.becomes("healed", 0.9)
 
 	for _, g := range f.Gateways { // whoever is steward is among them
-		g.Process().Signal(syscall.SIGSTOP)
+		g.Pause()
 		<-time.After(700 * time.Millisecond)
-		g.Process().Signal(syscall.SIGCONT)
+		g.GoOn()
 	}
 	f.Demand(200)
 	for i := range f.Gateways {
@@ -137,21 +160,18 @@
 	}
 	f.becomes("after all were started anew", 0.9)
 
-	owns := func(want string) bool {
-		text, err := f.Gateways[0].Figures()
-		return err == nil && strings.Contains(text, "node.fleet.quota.maps/"+federation.Team+"/.own:"+want+"|g")
-	}
-	if !owns("200") { // half of 0.4, as it wants all
-		t.Error("before the parts change the first gateway does not own 0.2")
+	if own := f.figure(0, quotaFigure+"own"); own != 200 { // half of 0.4, as it wants all
+		t.Errorf("before the parts change the first gateway owns %.0f thousandths", own)
 	}
-	for _, parts := range [][]float64{{0.4, 0.4, 0}, {0.5, 0.5, 0}} { // one leaves, lowered first
-		if err := f.SetParts(parts...); err != nil {
+	for _, c := range []struct {
+		parts   []float64
+		gateway int // that shows that it was taken over
+		own     float64
+	}{{[]float64{0.4, 0.4, 0}, 4, 0}, {[]float64{0.5, 0.5, 0}, 0, 250}} { // one leaves, lowered first
+		if err := f.SetParts(c.parts...); err != nil {
 			t.Fatal(err)
 		}
-		f.used(2 * time.Second)
-	}
-	if !owns("250") {
-		t.Error("after the parts changed the first gateway does not own 0.25")
+		f.until("other parts are in force", func() bool { return f.figure(c.gateway, quotaFigure+"own") == c.own })
 	}
 	f.becomes("after a partner has left", 0.9)
 	f.check()
@@ -167,11 +187,7 @@
 		Rate: 300, Burst: 30, Lease: 5 * time.Second, Seed: 3,
 	})
 	f.Demand(600, 0)
-	for until := time.Now().Add(20 * time.Second); f.used(time.Second) < 0.9; {
-		if time.Now().After(until) {
-			t.Fatal("nothing is lent")
-		}
-	}
+	f.becomes("nearly all is lent to one", 0.9)
 	f.Demand(600, 400, 400)
 	f.Set(0, 1, true, links.Fault{Cut: true})
 	f.Set(0, 2, true, links.Fault{Cut: true})
@@ -179,10 +195,10 @@
 	if err := f.Gateways[1].Start(); err != nil {
 		t.Fatal(err)
 	}
-	<-time.After(6 * time.Second) // what was lent has ended
-	if used := f.used(2 * time.Second); used < 0.9 {
-		t.Errorf("once what was lent has ended %.2f of the quota is used", used)
-	}
+	f.until("what was lent has ended, and nothing is fresh any more", func() bool {
+		return f.figure(0, quotaFigure+"granted") == 0 && f.figure(1, quotaFigure+"own") > 380 && f.figure(2, quotaFigure+"own") > 380
+	})
+	f.becomes("once what was lent has ended", 0.9)
 	f.check()
 }
 
@@ -193,8 +209,6 @@
 		Partners: []int{1, 1, 1}, Parts: []float64{0.4, 0.3, 0.3},
 		Rate: 300, Burst: 30, Lease: time.Second, Seed: 2,
 	})
-	name := "quota.maps/" + federation.Team + "/"
-
 	f.Demand(600, 0)
 	f.becomes("all the demand at one", 0.9)
 
@@ -216,18 +230,18 @@
 		}
 	}
 	f.becomes("beside a flood of what can't be read", 0.9)
-	if n, _ := f.Gateways[0].Figure("messages_other_version"); n < 100 {
+	if n := f.figure(0, "messages_other_version"); n < 100 {
 		t.Errorf("%.0f messages of another version were counted", n)
 	}
 
 	f.Demand(200) // the steward, whoever it is, sleeps through several leases with what it believed
 	for _, g := range f.Gateways {
-		g.Process().Signal(syscall.SIGSTOP)
+		g.Pause()
 		<-time.After(2500 * time.Millisecond)
-		g.Process().Signal(syscall.SIGCONT)
+		g.GoOn()
 	}
 	f.becomes("all awake again", 0.9)
-	if own, told := f.Gateways[0].Figure(name + ".own"); !told || own < 380 { // it wants more than it owns
+	if own := f.figure(0, quotaFigure+"own"); own < 380 { // it wants more than it owns
 		t.Errorf("the first has %.0f thousandths of its 400", own)
 	}
 	f.check()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -26,6 +26,7 @@
 type caller struct {
 	demand atomic.Int64 // billionths
 	begun  time.Time
+	told   chan struct{} // holds a word that a limit was set
 
 	mu    sync.Mutex
 	limit quota.Limit
@@ -41,6 +42,10 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.limit, c.until = l, now.Add(left())
+	select {
+	case c.told <- struct{}{}:
+	default:
+	}
 }
 
 func (c *caller) has() quota.Part {
@@ -80,7 +85,7 @@
 	var all []*member
 	for i := range n {
 		m := &member{ended: make(chan struct{})}
-		m.caller.begun = time.Now()
+		m.caller.begun, m.caller.told = time.Now(), make(chan struct{}, 1)
 		c.Name, c.Listen = c.Gateways[i].Name, c.Addresses[c.Gateways[i].Name]
 		c.Contracts = []Contract{{Name: "maps/a/", Account: &m.caller}}
 		var err error
@@ -111,7 +116,8 @@
 // await waits until something is so, and looks each time that the quota is not exceeded.
 func await(t *testing.T, all []*member, what string, so func() bool) {
 	t.Helper()
-	for until := time.Now().Add(20 * time.Second); !so(); time.Sleep(5 * time.Millisecond) {
+	patience := time.After(20 * time.Second)
+	for !so() {
 		sum := quota.Part(0)
 		for _, m := range all {
 			sum += m.caller.has()
@@ -125,7 +131,9 @@
 				t.Fatalf("%s: all have %.3f", what, sum.Fraction())
 			}
 		}
-		if time.Now().After(until) {
+		select {
+		case <-all[0].caller.told: // with each report at least
+		case <-patience:
 			t.Fatalf("%s: not so after 20 s: %v", what, all[0].Status())
 		}
 	}
--- a/internal/front/http1/listener_test.go
+++ b/internal/front/http1/listener_test.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
-	"time"
 )
 
 // open opens a listener, and greets whoever it accepts once greet is called.
@@ -81,6 +80,8 @@
 	for range 20 {
 		l, greet := open(t)
 		greet()
+		enough := make(chan struct{})
+		least := met.Load() + 200
 		var clients sync.WaitGroup
 		for range 16 {
 			clients.Go(func() {
@@ -94,12 +95,13 @@
 						t.Error(err)
 						return
 					}
-					met.Add(1)
+					if met.Add(1) == least {
+						close(enough)
+					}
 				}
 			})
 		}
-		for from := met.Load(); met.Load() < from+200; time.Sleep(time.Millisecond) {
-		}
+		<-enough
 		if err := l.finish(); err != nil {
 			t.Error(err)
 		}
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -51,6 +50,7 @@
 	endpoints []*lab.Endpoint
 	registry  *lab.Registry
 	begun     time.Time
+	asked     time.Duration // when clients began
 
 	mu   sync.Mutex
 	ran  []time.Duration // requests at the endpoints, since begun
@@ -68,19 +68,17 @@
 	listen  string
 	fleet   string
 
+	load    *lab.Load
 	mu      sync.Mutex
 	process *process.Process
-	stopped bool // it was killed or is paused, and clients may lose what it had
+	down    []span // while it was killed or stood still
 
 	demand atomic.Int64 // requests a second that clients ask for
-	asked  atomic.Int64
-	served atomic.Int64
-	over   atomic.Int64 // refused by the quota
-	other  atomic.Int64 // any other answer
-	failed atomic.Int64 // no answer, and the process was neither killed nor paused
-	lost   atomic.Int64 // no answer, of one that was
 }
 
+// span is a time since the federation began; an end of 0: it lasts.
+type span struct{ from, to time.Duration }
+
 // Start starts a federation, and waits until each process serves.
 func Start(c Config) (*Federation, error) {
 	f := &Federation{Config: c, begun: time.Now(), keys: map[string]int{}}
@@ -126,7 +124,7 @@
 func (f *Federation) add(partner int) error {
 	g := &Gateway{Number: len(f.Gateways), Partner: partner, of: f}
 	g.Name = fmt.Sprint("g", g.Number)
-	g.dir = filepath.Join(f.Dir, g.Name)
+	g.dir, g.load = filepath.Join(f.Dir, g.Name), g.newLoad()
 	var err error
 	g.host = fmt.Sprintf("127.0.%d.%d", 1+g.Number/200, 10+g.Number%200)
 	if g.listen, err = process.FreeAddrOf(g.host); err == nil {
@@ -195,7 +193,7 @@
 	platform := scene.Configuration(scene.Platform{
 		Name: g.Name, Listen: g.listen, Registry: f.registry.Addr(), Endpoints: f.endpoints, ConnectTimeout: 5 * time.Second,
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": 5000,
-			"worth": 3, "late_worth": 0.4, "aim_ms": 2000, "hard_limit_ms": 5000}},
+			"worth": 3, "late_worth": 0.4, "aim_ms": 2000, "hard_limit_ms": deadline.Milliseconds()}},
 	})
 	if err := g.write("config.json", platform); err != nil {
 		return err
@@ -266,20 +264,27 @@
 	if _, err := p.Ready(ctx); err != nil {
 		return fmt.Errorf("federation: %s: %w", g.Name, err)
 	}
-	g.setStopped(false)
+	g.setDown(false)
 	return nil
 }
 
-func (g *Gateway) setStopped(stopped bool) {
+// setDown notes that the process is killed or stands still, or no longer.
+func (g *Gateway) setDown(down bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stopped = stopped
+	now, last := time.Since(g.of.begun), len(g.down)-1
+	if lasts := last >= 0 && g.down[last].to == 0; down && !lasts {
+		g.down = append(g.down, span{from: now})
+	} else if !down && lasts {
+		g.down[last].to = now
+	}
 }
 
-func (g *Gateway) isStopped() bool {
+// wasDown reports whether it was killed or stood still at some moment of a time.
+func (g *Gateway) wasDown(from, to time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stopped
+	return slices.ContainsFunc(g.down, func(d span) bool { return d.from <= to && (d.to == 0 || from <= d.to) })
 }
 
 // Process is the gateway's, as it was started last.
@@ -291,12 +296,24 @@
 
 // Kill kills the process, and waits until it has ended.
 func (g *Gateway) Kill() {
-	g.setStopped(true)
+	g.setDown(true)
 	p := g.Process()
 	p.Kill()
 	<-p.Ended
 }
 
+// Pause has the process stand still.
+func (g *Gateway) Pause() {
+	g.setDown(true)
+	g.Process().Signal(syscall.SIGSTOP)
+}
+
+// GoOn has it go on.
+func (g *Gateway) GoOn() {
+	g.Process().Signal(syscall.SIGCONT)
+	g.setDown(false)
+}
+
 // Fleet is the address at which the gateway hears the others.
 func (g *Gateway) Fleet() string { return g.fleet }
 
@@ -378,79 +395,24 @@
 }
 
 // Ask has clients ask each gateway at its rate, whatever it answers, until ctx ends. It
-// returns when the last answer is there.
+// returns when the last answer is there, and is to be called once.
 func (f *Federation) Ask(ctx context.Context) {
 	var clients sync.WaitGroup
+	f.asked = time.Since(f.begun)
 	for _, g := range f.Gateways {
-		clients.Go(func() { g.ask(ctx) })
+		clients.Go(func() { g.load.Run(ctx, g.listen, f.Seed+uint64(g.Number)) })
 	}
 	clients.Wait()
 }
 
-// mostOpen bounds the requests that are out at a gateway.
-const mostOpen = 256
-
-func (g *Gateway) ask(ctx context.Context) {
-	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 64}}
-	defer client.CloseIdleConnections()
-	var out sync.WaitGroup
-	defer out.Wait()
-	r := rand.New(rand.NewPCG(g.of.Seed, uint64(g.Number)))
-	room := make(chan struct{}, mostOpen)
-	owed, last := 0.0, time.Now()
-	tick := time.NewTicker(4 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		now := time.Now()
-		owed = min(owed+float64(g.demand.Load())*now.Sub(last).Seconds()*(0.5+r.Float64()), 64)
-		last = now
-		for ; owed >= 1; owed-- {
-			select {
-			case room <- struct{}{}:
-			default:
-				continue
-			}
-			out.Go(func() {
-				g.request(client)
-				<-room
-			})
-		}
-	}
-}
+// deadline is that of a request.
+const deadline = 5 * time.Second
 
-func (g *Gateway) request(client *http.Client) {
-	id := fmt.Sprintf("%s-%d", g.Name, g.asked.Add(1))
-	req, err := http.NewRequest("POST", "http://"+g.listen+"/status-report?user=k", nil)
-	if err != nil {
-		return
-	}
-	for name, value := range map[string]string{"Req-Id": id, "Idempotency-Key": "k" + id, "Req-Kind": "status-report", "Req-Owner": Team, "Req-Deadline": "5000m"} {
-		req.Header.Set(name, value)
-	}
-	stopped := g.isStopped()
-	resp, err := client.Do(req)
-	if err != nil {
-		if stopped || g.isStopped() {
-			g.lost.Add(1)
-		} else if !strings.Contains(err.Error(), "refused") { // it is not up yet
-			g.failed.Add(1)
-		}
-		return
-	}
-	io.Copy(io.Discard, resp.Body)
-	resp.Body.Close()
-	switch resp.StatusCode {
-	case http.StatusOK:
-		g.served.Add(1)
-	case http.StatusTooManyRequests:
-		g.over.Add(1)
-	default:
-		g.other.Add(1)
+// newLoad is what clients ask a gateway for.
+func (g *Gateway) newLoad() *lab.Load {
+	return &lab.Load{
+		Team: Team, Method: http.MethodPost, Path: "/status-report?user=k", Kind: "status-report", Keyed: true, Give: deadline,
+		Rate: func(time.Duration) float64 { return float64(g.demand.Load()) },
 	}
 }
 
@@ -465,18 +427,28 @@
 // Ask sets the requests a second that clients ask this gateway for.
 func (g *Gateway) Ask(demand float64) { g.demand.Store(int64(demand)) }
 
-// Tally is what clients had of a gateway.
-type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost int64 }
+// Tally is what clients had of all gateways: Failed had no answer of a process that went
+// on, Lost of one that was killed or stood still meanwhile.
+type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost int }
 
-// Tally counts over all gateways.
+// Tally counts what has ended.
 func (f *Federation) Tally() (t Tally) {
 	for _, g := range f.Gateways {
-		t.Asked += g.asked.Load()
-		t.Served += g.served.Load()
-		t.OverQuota += g.over.Load()
-		t.Other += g.other.Load()
-		t.Failed += g.failed.Load()
-		t.Lost += g.lost.Load()
+		for _, r := range g.load.Results() {
+			t.Asked++
+			switch from := f.asked + r.At; {
+			case r.Status == http.StatusOK:
+				t.Served++
+			case r.Status == http.StatusTooManyRequests:
+				t.OverQuota++
+			case r.Status != 0:
+				t.Other++
+			case g.wasDown(from, from+r.Took):
+				t.Lost++
+			default:
+				t.Failed++
+			}
+		}
 	}
 	return t
 }
--- a/internal/lab/links/links.go
+++ b/internal/lab/links/links.go
@@ -1,16 +1,15 @@
 // Package links has paths between processes of a fleet that fail: each leads one way, from
-// one process to another, by UDP and TCP at one address, and drops, delays, repeats, turns
-// round and cuts what it carries.
+// one process to another, by UDP and TCP at one address. Datagrams are a lab.Relay's.
 package links
 
 import (
-	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
+
+	"spokegw/internal/lab"
 )
 
 // Fault is what is wrong with a link. The zero value is none.
@@ -22,52 +21,53 @@
 	Jitter    time.Duration // up to so much more: datagrams overtake one another
 }
 
-// mostFlying bounds the datagrams that a link holds.
-const mostFlying = 4096
+// plan is the same for the datagrams.
+func (f Fault) plan(seed uint64) lab.Plan {
+	p := lab.Plan{Seed: seed, Drop: f.Drop, Duplicate: f.Duplicate, Delay: f.Delay, Jitter: f.Jitter}
+	if f.Cut {
+		p.Drop = 1
+	}
+	return p
+}
 
 // Link is one path.
 type Link struct {
-	udp   *net.UDPConn
+	udp   *lab.Relay
 	tcp   net.Listener
-	to    *net.UDPAddr
+	to    string
+	seed  uint64
 	going sync.WaitGroup
 
 	mu      sync.Mutex
-	r       *rand.Rand
 	fault   Fault
-	flying  int
-	streams map[net.Conn]bool
+	streams map[net.Conn]bool // as many as memberlist opens
 	closed  bool
-	carried int // datagrams
-	bytes   int
 }
 
 // Start starts a link to an address.
 func Start(to string, seed uint64) (*Link, error) {
-	at, err := net.ResolveUDPAddr("udp", to)
-	if err != nil {
-		return nil, fmt.Errorf("link: %w", err)
-	}
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("link: %w", err)
-	}
-	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: tcp.Addr().(*net.TCPAddr).Port})
-	if err != nil {
-		tcp.Close()
-		return nil, fmt.Errorf("link: %w", err)
+	const tries = 20 // the port that is free for datagrams may be taken for streams
+	var err error
+	for range tries {
+		l := &Link{to: to, seed: seed, streams: map[net.Conn]bool{}}
+		if l.udp, err = lab.StartRelay(to, Fault{}.plan(seed)); err != nil {
+			break
+		}
+		if l.tcp, err = net.Listen("tcp", l.udp.Addr()); err == nil {
+			l.going.Go(l.accept)
+			return l, nil
+		}
+		l.udp.Close()
 	}
-	l := &Link{udp: udp, tcp: tcp, to: at, r: rand.New(rand.NewPCG(seed, 11)), streams: map[net.Conn]bool{}}
-	l.going.Go(l.datagrams)
-	l.going.Go(l.accept)
-	return l, nil
+	return nil, fmt.Errorf("link: %w", err)
 }
 
 // Addr is where the link begins.
-func (l *Link) Addr() string { return l.tcp.Addr().String() }
+func (l *Link) Addr() string { return l.udp.Addr() }
 
-// Set has the link fail in some way from now on. A cut also resets its streams.
+// Set has the link fail in some way from now on. A cut also ends its streams.
 func (l *Link) Set(f Fault) {
+	l.udp.SetPlan(f.plan(l.seed))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fault = f
@@ -78,12 +78,8 @@
 	}
 }
 
-// Carried are the datagrams that the link has carried, and their bytes.
-func (l *Link) Carried() (datagrams, bytes int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.carried, l.bytes
-}
+// Carried are the datagrams that came to the link, and their bytes.
+func (l *Link) Carried() (datagrams, bytes int) { return l.udp.Came(lab.ToServer) }
 
 // Close ends the link.
 func (l *Link) Close() {
@@ -93,54 +89,11 @@
 		c.Close()
 	}
 	l.mu.Unlock()
-	l.udp.Close()
 	l.tcp.Close()
+	l.udp.Close()
 	l.going.Wait()
 }
 
-func (l *Link) datagrams() {
-	for b := make([]byte, 64<<10); ; {
-		n, _, err := l.udp.ReadFrom(b)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
-			l.carry(append([]byte(nil), b[:n]...))
-		}
-	}
-}
-
-func (l *Link) carry(b []byte) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f := l.fault
-	if f.Cut || l.r.Float64() < f.Drop {
-		return
-	}
-	for n := 1; n == 1 || n == 2 && l.r.Float64() < f.Duplicate; n++ {
-		if l.flying >= mostFlying {
-			return
-		}
-		d := f.Delay
-		if f.Jitter > 0 {
-			d += time.Duration(l.r.Int64N(int64(f.Jitter)))
-		}
-		l.carried, l.bytes = l.carried+1, l.bytes+len(b)
-		if d == 0 {
-			l.udp.WriteTo(b, l.to) // what is lost is lost
-			continue
-		}
-		l.flying++
-		time.AfterFunc(d, func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			if l.flying--; !l.closed && !l.fault.Cut {
-				l.udp.WriteTo(b, l.to)
-			}
-		})
-	}
-}
-
 func (l *Link) accept() {
 	for {
 		c, err := l.tcp.Accept()
@@ -159,14 +112,14 @@
 	}
 	defer l.release(c)
 	l.mu.Lock()
-	cut, d := l.fault.Cut, l.fault.Delay
+	fault := l.fault
 	l.mu.Unlock()
-	if cut {
+	if fault.Cut {
 		io.Copy(io.Discard, c) // until its sender gives up
 		return
 	}
-	time.Sleep(d)
-	s, err := net.DialTimeout("tcp", l.to.String(), time.Second)
+	time.Sleep(fault.Delay)
+	s, err := net.DialTimeout("tcp", l.to, time.Second)
 	if err != nil {
 		return
 	}
@@ -176,7 +129,7 @@
 	}
 	defer l.release(s)
 	back := make(chan struct{})
-	go func() {
+	go func() { // it ends with either side
 		defer close(back)
 		io.Copy(c, s)
 		c.Close()
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -125,11 +125,26 @@
 	return r.Move()
 }
 
+// SetPlan has other things happen to datagrams from now on. Its seed and tap are those
+// of the start.
+func (r *Relay) SetPlan(p Plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.Seed, p.Tap = r.plan.Seed, r.plan.Tap
+	r.plan = p
+}
+
 // Bytes is how many bytes have come in a direction, whatever became of them.
 func (r *Relay) Bytes(d Direction) int {
+	_, bytes := r.Came(d)
+	return bytes
+}
+
+// Came is how many datagrams have come in a direction, and their bytes.
+func (r *Relay) Came(d Direction) (datagrams, bytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.bytes[d]
+	return r.n[d], r.bytes[d]
 }
 
 // AwaitQuiet waits until nothing has come in any direction for a time.
@@ -196,8 +211,11 @@
 
 // pass does with a datagram as planned.
 func (r *Relay) pass(d Direction, text []byte, send func([]byte)) {
-	if r.plan.Tap != nil {
-		r.plan.Tap(d, text)
+	r.mu.Lock()
+	tap := r.plan.Tap
+	r.mu.Unlock()
+	if tap != nil {
+		tap(d, text)
 	}
 	r.mu.Lock()
 	r.n[d]++
