quota: both sides of a gateway are one node, which the shell and the lab drive alike

internal/fleet and internal/lab/gateways each put holder and steward together for themselves: when a steward is made and forgotten, what goes out after what. That is quota.Node now, pure, and what virtual time plays is what runs. Schedules of faults were drawn twice too, in the tests and in bench/quota: gateways.Draw.

--- a/bench/quota/main.go
+++ b/bench/quota/main.go
@@ -178,10 +178,7 @@
 		for _, node := range w.Nodes {
 			node.Demand = quota.Of(w.Rand.Float64())
 		}
-		for at := time.Duration(0); at < 40*time.Second; at += time.Duration(w.Rand.Int64N(int64(1500 * time.Millisecond))) {
-			w.Run(at)
-			fault(w)
-		}
+		w.Play(gateways.Draw(w, 40*time.Second)) // it goes on when the sum is over the quota: no error
 		if worst = max(worst, w.Most.Fraction()); w.Most > quota.Whole {
 			over++
 		}
@@ -189,31 +186,6 @@
 	return over, worst
 }
 
-// fault has something fail for some seconds.
-func fault(w *gateways.World) {
-	n := w.Nodes[w.Rand.IntN(len(w.Nodes))]
-	lasts := time.Duration(w.Rand.Int64N(int64(6 * time.Second)))
-	switch w.Rand.IntN(6) {
-	case 0, 1:
-		n.Demand = quota.Of(w.Rand.Float64())
-	case 2:
-		halves(w, true)
-		w.After(lasts, func() { halves(w, false) })
-	case 3:
-		if n.Up {
-			w.Crash(n)
-			w.After(lasts, func() { w.Start(n) })
-		}
-	case 4:
-		if n.Up {
-			w.Pause(n, lasts)
-		}
-	case 5:
-		w.Drop = w.Rand.Float64() * 0.5
-		w.After(lasts, func() { w.Drop = 0 })
-	}
-}
-
 // costs tells what a member of a fleet sends and holds by the fleet's size; what a report
 // takes of a processor is told by BenchmarkHear of package quota.
 func costs(sizes string) error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -147,10 +147,9 @@
 type contract struct {
 	Contract
 	meter   quota.Meter
-	holder  *quota.Holder
-	steward *quota.Steward // nil: nobody reports here
-	order   []string       // of candidates, best first
-	orderOf uint64         // the members that it is of
+	node    *quota.Node
+	order   []string // of candidates, best first
+	orderOf uint64   // the members that it is of
 	demand  quota.Part
 	was     string // steward, when it was last told
 }
@@ -168,8 +167,7 @@
 	f.publishing = rank.Mutex{Rank: rankPublished, Name: "published"}
 	f.published.Store(&Status{Contracts: map[string]Standing{}})
 	f.plan.Store(&plan{c.Gateways, c.Addresses})
-	part, known := f.plan.Load().part(c.Name)
-	if !known {
+	if _, known := f.plan.Load().part(c.Name); !known {
 		return nil, fmt.Errorf("fleet: this gateway, %q, is none of the fleet's", c.Name)
 	}
 	for i := range f.shards {
@@ -177,9 +175,7 @@
 	}
 	incarnation := 1 + rand.Uint64N(1<<31)
 	for _, k := range c.Contracts {
-		f.shardOf(k.Name).contracts[k.Name] = &contract{
-			Contract: k, holder: quota.NewHolder(0, c.Settings, c.Name, incarnation, part),
-		}
+		f.shardOf(k.Name).contracts[k.Name] = &contract{Contract: k, node: quota.NewNode(0, c.Settings, c.Name, incarnation, c.Gateways)}
 	}
 	var err error
 	if f.transport, err = newTransport(c.Listen, f.address); err != nil {
@@ -237,7 +233,7 @@
 	}
 	f.plan.Store(next)
 	for i := range f.shards {
-		f.replaceShard(&f.shards[i], part, gateways)
+		f.replaceShard(&f.shards[i], gateways)
 	}
 	f.members.Lock()
 	for name := range f.up {
@@ -253,14 +249,11 @@
 	return nil
 }
 
-func (f *Fleet) replaceShard(s *shard, part quota.Part, gateways []quota.Gateway) {
+func (f *Fleet) replaceShard(s *shard, gateways []quota.Gateway) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.contracts {
-		c.holder.SetPart(part)
-		if c.steward != nil {
-			c.steward.SetPlan(f.now(), gateways)
-		}
+		c.node.SetPlan(f.now(), gateways)
 		f.enforce(c)
 	}
 }
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -12,10 +11,18 @@
 	"spokegw/internal/fleet/quota"
 )
 
-// outgoing is a message that is to be sent once no lock is held.
+// outgoing is a contract's message, which is sent once no lock is held.
 type outgoing struct {
-	to string
-	m  message.Message
+	contract string
+	quota.Out
+}
+
+// out appends messages of the contract to those before.
+func (c *contract) out(all []quota.Out, before []outgoing) []outgoing {
+	for _, o := range all {
+		before = append(before, outgoing{c.Name, o})
+	}
+	return before
 }
 
 // work is a shard's worker: it takes messages, and reports now and then, until the fleet
@@ -41,28 +48,22 @@
 	defer s.mu.Unlock()
 	for _, c := range s.contracts {
 		out = f.report(c, out)
-		if c.steward != nil && c.steward.Over(f.now()) {
-			c.steward = nil
-		}
 	}
 	return out
 }
 
 // report puts the limit in force that goes with a report, and then lets that go out.
-func (f *Fleet) report(c *contract, out []outgoing) []outgoing {
+func (f *Fleet) report(c *contract, before []outgoing) []outgoing {
 	requests, work := c.Account.Asked()
 	now := f.now()
 	c.demand = c.meter.Add(now, requests, work)
-	r, ok := c.holder.Tick(now, c.demand, f.candidates(c))
+	out := c.node.Tick(now, c.demand, f.candidates(c))
 	f.enforce(c)
-	if !ok {
-		return out
-	}
-	return append(out, outgoing{r.To, message.Message{Contract: c.Name, Report: &r}})
+	return c.out(out, before)
 }
 
 // take takes a message for a shard.
-func (f *Fleet) take(s *shard, m message.Message) (out []outgoing) {
+func (f *Fleet) take(s *shard, m message.Message) []outgoing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.contracts[m.Contract]
@@ -71,32 +72,24 @@
 		return nil
 	}
 	if m.Report != nil {
-		if c.steward == nil {
-			c.steward = quota.NewSteward(f.now(), f.config.Settings, f.config.Name, 1+rand.Uint64N(1<<31), f.plan.Load().gateways)
-		}
-		for _, r := range c.steward.Hear(f.now(), *m.Report) {
-			out = append(out, outgoing{r.To, message.Message{Contract: c.Name, Reply: &r}})
-		}
-		return out
+		return c.out(c.node.TakeReport(f.now(), *m.Report), nil)
 	}
 	const starts = 3 // of one process after another, each of which may be told of the one before
-	before := c.holder.Bumped()
-	hurry := c.holder.Take(f.now(), *m.Reply)
-	if c.holder.Bumped() > max(before, starts) && !f.twice.Swap(true) {
+	before := c.node.Bumped()
+	out := c.node.TakeReply(f.now(), *m.Reply)
+	if c.node.Bumped() > max(before, starts) && !f.twice.Swap(true) {
 		slog.Error("fleet: another process has this gateway's name: each takes the part of both for its own", "name", f.config.Name)
 	}
-	if f.enforce(c); hurry {
-		out = f.report(c, out)
-	}
-	return out
+	f.enforce(c)
+	return c.out(out, nil)
 }
 
 // enforce puts a contract's limit in force and before readers.
 func (f *Fleet) enforce(c *contract) {
 	now := f.now()
-	l := c.holder.Limit(now)
+	l := c.node.Limit(now)
 	c.Account.SetLimit(l, func() time.Duration { return l.Until - f.now() })
-	steward := c.holder.Steward()
+	steward := c.node.Steward()
 	if steward != c.was {
 		slog.Debug("fleet: steward", "contract", c.Name, "steward", steward, "before", c.was)
 		c.was = steward
@@ -110,25 +103,26 @@
 	for round := 0; len(out) > 0 && round < most; round++ {
 		var next []outgoing
 		for _, o := range out {
-			if o.to == f.config.Name {
-				next = append(next, f.take(s, o.m)...)
+			m := message.Message{Contract: o.contract, Report: o.Report, Reply: o.Reply}
+			if o.To == f.config.Name {
+				next = append(next, f.take(s, m)...)
 				continue
 			}
-			f.send(o)
+			f.send(o.To, m)
 		}
 		out = next
 	}
 }
 
-func (f *Fleet) send(o outgoing) {
-	b, err := message.Append(nil, o.m)
+func (f *Fleet) send(to string, m message.Message) {
+	b, err := message.Append(nil, m)
 	if err != nil {
 		slog.Error("fleet: a message can't be written", "error", err)
 		return
 	}
 	// What is lost is told again with the next report.
-	if addr, known := f.address(o.to); known {
-		f.list.SendToAddress(memberlist.Address{Addr: addr, Name: o.to}, b)
+	if addr, known := f.address(to); known {
+		f.list.SendToAddress(memberlist.Address{Addr: addr, Name: to}, b)
 	}
 }
 
--- a/internal/lab/gateways/world.go
+++ b/internal/lab/gateways/world.go
@@ -39,57 +39,31 @@
 
 // Leases is the way of package quota.
 func Leases(now time.Duration, set quota.Settings, name string, incarnation uint64, plan []quota.Gateway) Way {
-	part := quota.Part(0)
-	for _, g := range plan {
-		if g.Name == name {
-			part = g.Part
-		}
-	}
-	return &leases{holder: quota.NewHolder(now, set, name, incarnation, part), set: set, name: name, incarnation: incarnation, plan: plan}
+	return leases{quota.NewNode(now, set, name, incarnation, plan)}
 }
 
-// leases is a gateway's both sides. It is a steward while somebody reports to it.
-type leases struct {
-	holder      *quota.Holder
-	steward     *quota.Steward
-	set         quota.Settings
-	name        string
-	incarnation uint64 // of the next steward
-	plan        []quota.Gateway
+type leases struct{ node *quota.Node }
+
+func (l leases) Tick(now time.Duration, demand quota.Part, candidates []string) []Message {
+	return messages(l.node.Tick(now, demand, candidates))
 }
 
-func (l *leases) Tick(now time.Duration, demand quota.Part, candidates []string) []Message {
-	if l.steward != nil && l.steward.Over(now) {
-		l.steward = nil
-	}
-	r, ok := l.holder.Tick(now, demand, candidates)
-	if !ok {
-		return nil
+func (l leases) Take(now time.Duration, body any) []Message {
+	out := body.(quota.Out)
+	if out.Report != nil {
+		return messages(l.node.TakeReport(now, *out.Report))
 	}
-	return []Message{{r.To, r}}
+	return messages(l.node.TakeReply(now, *out.Reply))
 }
 
-func (l *leases) Take(now time.Duration, body any) (out []Message) {
-	switch m := body.(type) {
-	case quota.Report:
-		if l.steward == nil {
-			l.steward = quota.NewSteward(now, l.set, l.name, l.incarnation, l.plan)
-			l.incarnation += 1 << 32
-		}
-		for _, r := range l.steward.Hear(now, m) {
-			out = append(out, Message{r.To, r})
-		}
-	case quota.Reply:
-		if l.holder.Take(now, m) {
-			if r, ok := l.holder.Again(now); ok {
-				out = append(out, Message{r.To, r})
-			}
-		}
+func messages(all []quota.Out) (out []Message) {
+	for _, o := range all {
+		out = append(out, Message{o.To, o})
 	}
 	return out
 }
 
-func (l *leases) Limit(now time.Duration) quota.Limit { return l.holder.Limit(now) }
+func (l leases) Limit(now time.Duration) quota.Limit { return l.node.Limit(now) }
 
 // World is a federation that is played.
 type World struct {
@@ -114,6 +88,8 @@
 	seq   int
 	sum   quota.Part
 	named map[string]*Node
+
+	ordered []*Node // as candidates
 }
 
 // Node is one gateway.
@@ -143,6 +119,10 @@
 	for i := range n {
 		node := &Node{n: i, Name: w.plan[i].Name, rate: 1 + set.Drift*(2*w.Rand.Float64()-1), offset: time.Duration(w.Rand.Int64N(int64(48 * time.Hour)))}
 		w.Nodes, w.named[node.Name] = append(w.Nodes, node), node
+	}
+	w.ordered = slices.Clone(w.Nodes)
+	slices.SortFunc(w.ordered, func(a, b *Node) int { return cmp.Compare(w.Order(a), w.Order(b)) })
+	for _, node := range w.Nodes {
 		w.Start(node)
 	}
 	return w
@@ -226,18 +206,16 @@
 	}
 }
 
-func order(name string) uint32 {
+// Order is a gateway's place among candidates: the least is the first.
+func (w *World) Order(n *Node) uint32 {
 	h := fnv.New32a()
-	h.Write([]byte("team " + name))
+	h.Write([]byte("team " + n.Name))
 	return h.Sum32()
 }
 
-// Order is a gateway's place among candidates: the least is the first.
-func (w *World) Order(n *Node) uint32 { return order(n.Name) }
-
 // candidates are those that a gateway takes to be up, in an order that all agree on.
 func (w *World) candidates(n *Node) (names []string) {
-	for _, o := range w.Nodes {
+	for _, o := range w.ordered {
 		up := o.Up
 		if w.Now-w.since[o.n] < w.Views {
 			up = !up // not known yet
@@ -246,7 +224,6 @@
 			names = append(names, o.Name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(order(a), order(b)) })
 	return names
 }
 
