http1: a stop under clients that keep their connections and others that open new ones

TestStopUnderClients: 24 clients, half of which send on every connection that stays open, half on a new one each; none is without an answer until nobody listens any more.

--- a/internal/front/http1/http1_test.go
+++ b/internal/front/http1/http1_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -525,3 +527,95 @@
 		asking.Wait()
 	}
 }
+
+// stopClient is a client of a server that stops: it sends on its connection for as long as
+// that stays open, and where that ended without an answer once more on a new one, as a
+// client may that had used it before.
+type stopClient struct {
+	at   string
+	keep bool // its connection; else each request has a new one
+	c    net.Conn
+}
+
+var errStopped = errors.New("nobody listens any more")
+
+// ask sends a request, and returns the status of its answer.
+func (k *stopClient) ask(id string) (status int, err error) {
+	for {
+		fresh := k.c == nil
+		if fresh {
+			if k.c, err = net.Dial("tcp", k.at); errors.Is(err, syscall.ECONNREFUSED) {
+				return 0, errStopped
+			} else if err != nil {
+				return 0, err
+			}
+			k.c.SetDeadline(time.Now().Add(patience))
+		}
+		resp, err := k.try(id)
+		if err == nil {
+			if resp.Close || !k.keep {
+				k.close()
+			}
+			return resp.StatusCode, nil
+		}
+		if k.close(); fresh {
+			return 0, fmt.Errorf("on a new connection: %w", err)
+		}
+	}
+}
+
+func (k *stopClient) try(id string) (*http.Response, error) {
+	if _, err := io.WriteString(k.c, tile(id)); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(k.c), nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	return resp, err
+}
+
+func (k *stopClient) close() {
+	if k.c != nil {
+		k.c.Close()
+		k.c = nil
+	}
+}
+
+// A server that stops under clients that send on every connection that stays open, and
+// others that open a new one for each request, loses none: each has its answer, until
+// nobody listens any more.
+func TestStopUnderClients(t *testing.T) {
+	const rounds, clients, each = 4, 24, 20
+	at := listenEndpoint(t, echo(func(*http.Request) {}))
+	for round := range rounds {
+		var asking sync.WaitGroup
+		begun := make(chan struct{}, clients)
+		t.Run(fmt.Sprint(round), func(inner *testing.T) { // its end stops the server
+			s := start(inner, nil, at)
+			for i := range clients {
+				k := &stopClient{at: s.Addr().String(), keep: i%2 == 0}
+				asking.Go(func() {
+					defer k.close()
+					for n := 0; ; n++ {
+						status, err := k.ask(fmt.Sprintf("under-%d-%d-%d", round, i, n))
+						if n == each {
+							begun <- struct{}{}
+						}
+						if errors.Is(err, errStopped) && n > each {
+							return
+						}
+						if err != nil || status != 200 {
+							t.Errorf("round %d, client %d, request %d: status %d, %v", round, i, n, status, err)
+							return
+						}
+					}
+				})
+			}
+			for range clients {
+				<-begun
+			}
+		})
+		asking.Wait()
+	}
+}
