lease: times of one's own messages and the choice of whom to report to, apart from quota

A duty that one gateway holds for all needs the same three things as a quota's steward: when one's own messages went out, how long another's clock surely takes, and who is passed over while silent.

No behaviour changes: the quota's schedules, orders and races pass as before.

--- /dev/null
+++ b/internal/fleet/lease/lease.go
@@ -0,0 +1,98 @@
+// Package lease has what leases between clocks that are never compared need: when one's own
+// messages went out, how long a time of another's clock surely lasts, and whom to report
+// to while some are silent. It is pure.
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	marks = 32 // messages whose times are remembered
+
+	// silentLeases is how long one that is reported to may be silent before another is
+	// tried, shunLeases how long it is not tried again then.
+	silentLeases = 1.5
+	shunLeases   = 3
+)
+
+// Surely is how long one has to wait on one's own clock until a time has surely passed on
+// another's. drift is by how much the rate of each may differ from the true one.
+func Surely(d time.Duration, drift float64) time.Duration {
+	return time.Duration(float64(d)*(1+drift)/(1-drift)) + time.Microsecond // and what rounding leaves
+}
+
+// Sent are the times at which the latest messages went out.
+type Sent struct {
+	seq   uint64
+	first uint64 // the earliest that counts
+	at    [marks]time.Duration
+}
+
+// Next numbers a message that goes out now, from 1.
+func (s *Sent) Next(now time.Duration) uint64 {
+	s.seq++
+	s.at[s.seq%marks] = now
+	return s.seq
+}
+
+// When is the time at which a message went out; false: it is not remembered.
+func (s *Sent) When(seq uint64) (time.Duration, bool) {
+	if seq == 0 || seq < s.first || seq > s.seq || s.seq-seq >= marks {
+		return 0, false
+	}
+	return s.at[seq%marks], true
+}
+
+// Forget has what went out so far count for nothing.
+func (s *Sent) Forget() { s.first = s.seq + 1 }
+
+// Choice is whom a gateway reports to: the best candidate that is not silent.
+type Choice struct {
+	Name    string        // "": nobody
+	HeardAt time.Duration // when it was last heard, or chosen
+	lease   time.Duration
+	shunned map[string]time.Duration // those that were silent, until when; as many as candidates
+}
+
+// NewChoice is a choice of nobody yet.
+func NewChoice(lease time.Duration) Choice {
+	return Choice{lease: lease, shunned: map[string]time.Duration{}}
+}
+
+// Clone is a copy that shares nothing.
+func (c Choice) Clone() Choice {
+	c.shunned = maps.Clone(c.shunned)
+	return c
+}
+
+// Shunned is how many are not tried for now, as they were silent.
+func (c *Choice) Shunned() int { return len(c.shunned) }
+
+// Take chooses among candidates, the best first. It reports whether another one was chosen.
+func (c *Choice) Take(now time.Duration, candidates []string) (changed bool) {
+	for name, until := range c.shunned {
+		if now >= until || !slices.Contains(candidates, name) {
+			delete(c.shunned, name)
+		}
+	}
+	if c.Name != "" && now-c.HeardAt > times(c.lease, silentLeases) && len(candidates) > 1 {
+		c.shunned[c.Name] = now + times(c.lease, shunLeases)
+	}
+	best := ""
+	for _, name := range candidates {
+		if _, silent := c.shunned[name]; !silent {
+			best = name
+			break
+		}
+	}
+	if best == c.Name {
+		return false
+	}
+	c.Name, c.HeardAt = best, now
+	return true
+}
+
+func times(d time.Duration, n float64) time.Duration { return time.Duration(float64(d) * n) }
--- a/internal/fleet/quota/explore_test.go
+++ b/internal/fleet/quota/explore_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"maps"
 	"runtime"
 	"slices"
 	"strings"
@@ -50,7 +49,7 @@
 func (s small) clone() small {
 	for i, h := range s.holders {
 		c := *h
-		c.shunned = maps.Clone(h.shunned)
+		c.steward = h.steward.Clone()
 		c.ceded = slices.Clone(h.ceded)
 		for j := range c.ceded {
 			c.ceded[j].entries = slices.Clone(c.ceded[j].entries)
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -3,35 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"spokegw/internal/fleet/lease"
 )
 
 const (
-	marks       = 32 // messages whose times are remembered
 	mostEntries = 16 // for one other
 	mostTo      = 8  // stewards to which something is ceded at a time
 )
 
-// sendings are the times at which the latest messages went out.
-type sendings struct {
-	seq   uint64
-	first uint64 // the earliest that counts
-	at    [marks]time.Duration
-}
-
-func (s *sendings) next(now time.Duration) uint64 {
-	s.seq++
-	s.at[s.seq%marks] = now
-	return s.seq
-}
-
-// when is the time at which a message was sent; false: it is not remembered.
-func (s *sendings) when(seq uint64) (time.Duration, bool) {
-	if seq == 0 || seq < s.first || seq > s.seq || s.seq-seq >= marks {
-		return 0, false
-	}
-	return s.at[seq%marks], true
-}
-
 // ceded is what was ceded to one steward.
 type ceded struct {
 	steward     string
@@ -49,13 +29,11 @@
 	fresh       time.Duration // until then a former self's cessions may be in use
 	bumped      int           // times that a later incarnation was known
 
-	steward   string
+	steward   lease.Choice
 	stewardIs uint64 // its incarnation; 0: not known
 	heard     uint64 // its latest reply
 	anchor    uint64 // the latest report that a reply taken has answered
-	heardAt   time.Duration
-	shunned   map[string]time.Duration // stewards that were silent, until when; as many as candidates
-	sent      sendings
+	sent      lease.Sent
 
 	ceded  []ceded
 	grant  Part
@@ -67,7 +45,7 @@
 // NewHolder makes the side of a gateway that has just started. incarnation is to be drawn
 // at random: of two processes of one name the later one finds out.
 func NewHolder(now time.Duration, set Settings, name string, incarnation uint64, part Part) *Holder {
-	return &Holder{set: set, name: name, part: part, incarnation: max(incarnation, 1), fresh: now + set.surely(set.Lease), shunned: map[string]time.Duration{}}
+	return &Holder{set: set, name: name, part: part, incarnation: max(incarnation, 1), fresh: now + set.surely(set.Lease), steward: lease.NewChoice(set.Lease)}
 }
 
 // Incarnation is the gateway's, and Bumped how often another one of its name was known to
@@ -76,7 +54,7 @@
 func (h *Holder) Bumped() int         { return h.bumped }
 
 // Steward is whom the gateway reports to; "": nobody.
-func (h *Holder) Steward() string { return h.steward }
+func (h *Holder) Steward() string { return h.steward.Name }
 
 // SetPart changes the part that the gateway owns.
 func (h *Holder) SetPart(part Part) { h.part = clamp(part) }
@@ -114,7 +92,7 @@
 func (h *Holder) Tick(now time.Duration, demand Part, candidates []string) (Report, bool) {
 	h.demand = clamp(demand)
 	h.choose(now, candidates)
-	if h.steward == "" {
+	if h.steward.Name == "" {
 		return Report{}, false
 	}
 	return h.report(now), true
@@ -122,7 +100,7 @@
 
 // Again is one more report, with the demand told last.
 func (h *Holder) Again(now time.Duration) (Report, bool) {
-	if h.steward == "" {
+	if h.steward.Name == "" {
 		return Report{}, false
 	}
 	return h.report(now), true
@@ -130,38 +108,21 @@
 
 // choose takes the best steward that is not silent.
 func (h *Holder) choose(now time.Duration, candidates []string) {
-	for name, until := range h.shunned {
-		if now >= until || !slices.Contains(candidates, name) {
-			delete(h.shunned, name)
-		}
-	}
-	if h.steward != "" && now-h.heardAt > times(h.set.Lease, silentLeases) && len(candidates) > 1 {
-		h.shunned[h.steward] = now + times(h.set.Lease, shunLeases)
-	}
-	best := ""
-	for _, c := range candidates {
-		if _, silent := h.shunned[c]; !silent {
-			best = c
-			break
-		}
-	}
-	if best != h.steward {
-		h.steward, h.stewardIs, h.heard, h.heardAt, h.ask = best, 0, 0, now, 0
+	if h.steward.Take(now, candidates) {
+		h.stewardIs, h.heard, h.ask = 0, 0, 0
 	}
 }
 
-func times(d time.Duration, n float64) time.Duration { return time.Duration(float64(d) * n) }
-
 // report makes the next report, and counts what it cedes.
 func (h *Holder) report(now time.Duration) Report {
 	h.forget(now)
 	r := Report{
-		From: h.name, Incarnation: h.incarnation, To: h.steward, ToIncarnation: h.stewardIs,
+		From: h.name, Incarnation: h.incarnation, To: h.steward.Name, ToIncarnation: h.stewardIs,
 		Heard: h.heard, Demand: h.demand, Cede: h.cedes(now),
 	}
-	r.Seq = h.sent.next(now)
+	r.Seq = h.sent.Next(now)
 	if r.Cede > 0 {
-		c := h.cededTo(h.steward, h.stewardIs)
+		c := h.cededTo(h.steward.Name, h.stewardIs)
 		c.entries = c.entries.add(entry{r.Incarnation, r.Seq, r.Cede, int64(now + h.set.surely(h.set.Lease))})
 		if n := len(c.entries); n > mostEntries { // the two oldest as one that stands for both
 			a, b := c.entries[0], c.entries[1]
@@ -179,12 +140,12 @@
 	}
 	others := Part(0)
 	for i := range h.ceded {
-		if c := &h.ceded[i]; c.steward != h.steward || c.incarnation != h.stewardIs {
+		if c := &h.ceded[i]; c.steward != h.steward.Name || c.incarnation != h.stewardIs {
 			others += c.entries.most(int64(now))
 		}
 	}
 	keep := max(h.floor(), Part(spareDemand*float64(h.demand)))
-	if h.cededTo(h.steward, h.stewardIs) == nil {
+	if h.cededTo(h.steward.Name, h.stewardIs) == nil {
 		return 0
 	}
 	return max(0, min(h.ask, h.part-keep-others))
@@ -225,7 +186,7 @@
 		}
 		return false
 	}
-	if r.ToIncarnation != h.incarnation || r.From != h.steward {
+	if r.ToIncarnation != h.incarnation || r.From != h.steward.Name {
 		return false
 	}
 	if r.Incarnation != h.stewardIs { // it has started anew, unless this is late
@@ -237,11 +198,11 @@
 	if r.Seq <= h.heard {
 		return false
 	}
-	h.heard, h.heardAt, h.anchor = r.Seq, now, max(h.anchor, r.Heard)
+	h.heard, h.steward.HeardAt, h.anchor = r.Seq, now, max(h.anchor, r.Heard)
 	before, asked := h.Limit(now).Grant, h.ask
 	h.ask = clamp(r.Ask)
 	h.grant, h.until = 0, 0
-	if at, known := h.sent.when(r.Heard); known && r.For > 0 && r.For <= h.set.Lease && at+r.For > now {
+	if at, known := h.sent.When(r.Heard); known && r.For > 0 && r.For <= h.set.Lease && at+r.For > now {
 		h.grant, h.until = clamp(r.Grant), at+r.For
 	}
 	h.givenBack(r)
--- a/internal/fleet/quota/partner_test.go
+++ b/internal/fleet/quota/partner_test.go
@@ -288,8 +288,8 @@
 		for _, c := range h.ceded {
 			n += len(c.entries)
 		}
-		if len(h.ceded) > 1 || n > mostEntries || len(h.shunned) > 0 {
-			t.Errorf("%s: %d stewards, %d entries, %d shunned", h.name, len(h.ceded), n, len(h.shunned))
+		if len(h.ceded) > 1 || n > mostEntries || h.steward.Shunned() > 0 {
+			t.Errorf("%s: %d stewards, %d entries, %d shunned", h.name, len(h.ceded), n, h.steward.Shunned())
 		}
 	}
 	p.demands = make([]Part, len(plan))
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -27,6 +27,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"spokegw/internal/fleet/lease"
 )
 
 // Part is a part of the quota, in billionths: sums are exact.
@@ -70,10 +72,6 @@
 	spareDemand = 1.03
 	// grantPart is the part of a lease that a grant lasts, where cessions last so long.
 	grantPart = 0.6
-	// silentLeases is how long a steward may be silent before another is tried.
-	silentLeases = 1.5
-	// shunLeases is how long it is not tried again then.
-	shunLeases = 3
 )
 
 // Check tells what is wrong with settings.
@@ -89,11 +87,11 @@
 	return nil
 }
 
-// surely is how long a giver has to wait on its own clock until a time has surely passed
-// on another's.
-func (s Settings) surely(d time.Duration) time.Duration {
-	return time.Duration(float64(d)*(1+s.Drift)/(1-s.Drift)) + time.Microsecond // and what rounding leaves
-}
+// surely is how long a giver waits until a time has passed on another's clock.
+func (s Settings) surely(d time.Duration) time.Duration { return lease.Surely(d, s.Drift) }
+
+// times is so many times a duration.
+func times(d time.Duration, n float64) time.Duration { return time.Duration(float64(d) * n) }
 
 // Report is what a gateway tells the steward.
 type Report struct {
--- a/internal/fleet/quota/steward.go
+++ b/internal/fleet/quota/steward.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"spokegw/internal/fleet/lease"
 )
 
 // Gateway is one of those that draw on a quota.
@@ -38,7 +40,7 @@
 	offered     Part // by the latest report
 	asked       Part // by the latest reply
 	target      Part
-	sent        sendings
+	sent        lease.Sent
 	cessions    entries // ends in slots, rounded down
 	grants      entries // ends in slots, rounded up
 	owed        bool    // it has been told of more than it offers now
@@ -151,7 +153,7 @@
 	}
 	if r.Incarnation > a.incarnation { // what its former self has is counted to its end
 		a.incarnation, a.heard = r.Incarnation, 0
-		a.sent.first = a.sent.seq + 1 // and what was told that one counts for nothing
+		a.sent.Forget() // and what was told that one counts for nothing
 	}
 	if r.Seq <= a.heard {
 		return nil
@@ -167,7 +169,7 @@
 
 // ack takes what a report says of the replies before it, and what it cedes.
 func (s *Steward) ack(a *account, r Report) {
-	at, known := a.sent.when(r.Heard)
+	at, known := a.sent.When(r.Heard)
 	if !known || r.ToIncarnation != s.incarnation {
 		a.offered = 0
 		return
@@ -218,7 +220,7 @@
 		Ask: s.asks(a), Relied: a.cessions.most(s.now),
 	}
 	a.owed, a.asked = r.Relied > a.offered, r.Ask
-	r.Seq = a.sent.next(now)
+	r.Seq = a.sent.Next(now)
 	if want := a.target - (a.Part - r.Relied); want > 0 && !a.left {
 		r.Grant, r.For = s.grant(a, want, r.Seq)
 	}
