duty: one gateway holds a duty for all, with a lease and a term, at most one at a time

Weights for a whole fleet, and a plan for a lost site, need one place that decides, and a split must not have two. Weighed: the same computed by all from the same state (each would have to hear all: n squared messages, and two sides of a split differ), consensus over a log (nothing here has to be agreed on for good). So promises for a lease, counted as the quota's leases are: no clock is compared with another, more than half of the gateways of the file are needed.

Eleven mutants.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -29,6 +29,7 @@
 	charges = "TestChargesInEveryOrder"
 	courses = "TestCourseInEveryOrder"
 	leases  = "(TestEveryOrderOfLeases|TestSchedules|TestLateWord)"
+	duties  = "(TestEveryOrderOfDuty|TestPromiseToFormerSelf)"
 
 	over     = "more is in use than there is"
 	counted  = "what is counted is not what is in use"
@@ -45,6 +46,9 @@
 	paused   = "a pause moved it"
 	left     = "undone, and some still meet the new pool"
 	exceeded = "all together may admit more than the quota"
+	two      = "two hold the duty at once"
+	another  = "a promise to another counts"
+	term     = "a later holder has no later term"
 	tokens   = "a team has attempts below 0 or beyond what may be saved up"
 )
 
@@ -101,6 +105,17 @@
 	{"internal/fleet/quota/steward.go", "		s.granted[i] += a.grants.most(s.now+int64(k)) - granted[k]\n", "", leases, exceeded},
 	{"internal/fleet/quota/quota.go", "o.amount <= x.amount && o.end <= x.end", "o.end <= x.end", leases, exceeded},
 	{"internal/fleet/quota/quota.go", "	if now < l.Until {\n", "	if l.Until > 0 {\n", leases, exceeded},
+	{"internal/fleet/duty/duty.go", "at+s.set.Lease)", "max(at, now)+s.set.Lease*3/2)", duties, two},
+	{"internal/fleet/duty/duty.go", "now+v.set.surely()\n", "now+v.set.Lease/2\n", duties, two},
+	{"internal/fleet/duty/duty.go", "v.heard == 0 || now < v.fresh || ", "v.heard == 0 || ", duties, two},
+	{"internal/fleet/duty/duty.go", " || other && now < v.promised", " || other && false", duties, two},
+	{"internal/fleet/duty/duty.go", "v.promisedTo != v.choice.Name || v.promisedIs", "v.promisedIs", duties, two},
+	{"internal/fleet/duty/duty.go", " && r.ToIncarnation == s.incarnation {", " {", duties, another},
+	{"internal/fleet/duty/duty.go", "s.ends[(len(s.ends)-1)/2]", "s.ends[(len(s.ends)+1)/2]", duties, term},
+	{"internal/fleet/duty/duty.go", "known && r.Promise && r.ToIncarnation", "known && r.ToIncarnation", duties, two},
+	{"internal/fleet/duty/duty.go", "	s.known = max(s.known, r.Term)\n", "", duties, term},
+	{"internal/fleet/duty/duty.go", "	if now >= s.Until() {\n", "	if s.term > 0 && now >= s.Until()+s.set.Lease {\n", duties, two},
+	{"internal/fleet/duty/duty.go", "s.known.round()+1", "s.known.round()", duties, term},
 }
 
 var of = flag.String("of", "", "only mutants of files with this in their path")
@@ -180,8 +195,11 @@
 	}
 	// The exit code tells nothing that the output does not.
 	args := []string{"test", "-count=1", "-vet=off", "-overlay", overlay, "-run", "^" + m.test + "$", "./" + filepath.Dir(m.file)}
-	if m.test == leases {
+	switch m.test {
+	case leases:
 		args = append(args, "-explore-depth", "6", "-schedules", "400")
+	case duties:
+		args = append(args, "-explore-depth", "6")
 	}
 	output, _ := exec.Command("go", args...).CombinedOutput()
 	found := end.FindSubmatch(output)
--- /dev/null
+++ b/internal/fleet/duty/duty.go
@@ -0,0 +1,375 @@
+// Package duty has one of many gateways hold a duty for all, such as computing a table that
+// all use, with at most one of them at each instant: whatever is dropped, delayed, repeated
+// or cut, whoever crashes, stands still or starts anew. It is pure: time and messages come
+// in, messages go out; there is no I/O, no clock, no goroutine.
+//
+// Each gateway promises itself to one other at a time (Voter). One holds the duty while more
+// than half of all gateways of the plan are promised to it (Seat). The argument needs no
+// clock to be compared with another:
+//
+//   - A voter that promised itself in a report promises nobody else anything until a lease
+//     after it sent that report has surely passed.
+//   - A seat counts a promise until a lease after it sent the reply that the report answers,
+//     which was earlier.
+//   - Two sets of more than half of the same gateways have one in common, and so do those of
+//     n and of n+1: a plan in which one gateway more or less stands is taken over safely. Where
+//     it can do harm: plans that differ by more, while both are in force, may have a holder
+//     each. Whoever uses the duty has to bear that for a lease.
+//
+// After a start it is not known to whom the former self was promised: a voter promises
+// nothing until that has ended.
+//
+// Each holder has a term, higher than any that those promised to it knew of, so that what an
+// earlier one left behind is told from what the present one says.
+package duty
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"spokegw/internal/fleet/lease"
+)
+
+// Settings are those of all gateways.
+type Settings struct {
+	Lease time.Duration // that a promise lasts
+	Drift float64       // by which a clock's rate may differ from the true one, at most
+}
+
+func (s Settings) surely() time.Duration { return lease.Surely(s.Lease, s.Drift) }
+
+// Term numbers holders: a round, and below it what tells one holder of a round from another.
+type Term uint64
+
+const (
+	idBits = 32
+	// mostRounds bounds what a member can claim to know of.
+	mostRounds = 1 << 30
+)
+
+func (t Term) round() uint64 { return uint64(t) >> idBits }
+
+// Meant reports whether a term can be one.
+func (t Term) Meant() bool { return t.round() <= mostRounds }
+
+// Report is what a gateway tells the one that it would have hold the duty.
+type Report struct {
+	From          string
+	Incarnation   uint64
+	Seq           uint64 // of this incarnation's reports, from 1
+	To            string
+	ToIncarnation uint64 // 0: not known yet
+	Heard         uint64 // the latest Reply taken from that incarnation; 0: none
+	Promise       bool   // nobody else is promised anything for a lease
+	Term          Term   // the highest that is known
+}
+
+// Reply is what it is answered.
+type Reply struct {
+	From          string
+	Incarnation   uint64
+	Seq           uint64 // of the replies to this gateway, from 1
+	To            string
+	ToIncarnation uint64
+	Heard         uint64 // the latest Report taken
+	Term          Term   // in which From holds the duty; 0: it does not
+	Known         uint64 // over 0: so late an incarnation of To is known, and nothing else is told
+}
+
+// Voter is the side of a gateway that promises itself.
+type Voter struct {
+	set         Settings
+	name        string
+	incarnation uint64
+	fresh       time.Duration // until then a former self may be promised
+
+	choice lease.Choice
+	seatIs uint64 // its incarnation; 0: not known
+	heard  uint64 // its latest reply
+	anchor uint64 // the latest report that a reply taken has answered
+	sent   lease.Sent
+	term   Term // the highest known
+
+	promisedTo string // the latest, and until when
+	promisedIs uint64
+	promised   time.Duration
+
+	holds Term          // in which the choice holds the duty, as it said
+	until time.Duration // and for how long that is believed
+}
+
+// NewVoter makes the side of a gateway that has just started. incarnation is to be drawn at
+// random.
+func NewVoter(now time.Duration, set Settings, name string, incarnation uint64) *Voter {
+	return &Voter{set: set, name: name, incarnation: max(incarnation, 1), fresh: now + set.surely(), choice: lease.NewChoice(set.Lease)}
+}
+
+// Term is the highest that is known.
+func (v *Voter) Term() Term { return v.term }
+
+// Holder is who holds the duty, as far as this gateway knows, and its term; "": nobody.
+func (v *Voter) Holder(now time.Duration) (string, Term) {
+	if v.holds == 0 || now >= v.until {
+		return "", 0
+	}
+	return v.choice.Name, v.holds
+}
+
+// Tick is to be called each period. It takes those that may hold the duty, the best first,
+// and returns the next report; false: there is nobody to tell. Who holds it stays so while it
+// says so, whoever would be better.
+func (v *Voter) Tick(now time.Duration, candidates []string) (Report, bool) {
+	if holder, _ := v.Holder(now); holder == "" || !slices.Contains(candidates, holder) {
+		if v.choice.Take(now, candidates) {
+			v.seatIs, v.heard, v.holds = 0, 0, 0
+		}
+	}
+	if v.choice.Name == "" {
+		return Report{}, false
+	}
+	r := Report{From: v.name, Incarnation: v.incarnation, To: v.choice.Name, ToIncarnation: v.seatIs, Heard: v.heard, Term: v.term}
+	r.Promise = v.promise(now)
+	r.Seq = v.sent.Next(now)
+	return r, true
+}
+
+// promise reports whether the next report promises, and notes that.
+func (v *Voter) promise(now time.Duration) bool {
+	other := v.promisedTo != v.choice.Name || v.promisedIs != v.seatIs
+	if v.heard == 0 || now < v.fresh || other && now < v.promised {
+		return false
+	}
+	v.promisedTo, v.promisedIs, v.promised = v.choice.Name, v.seatIs, now+v.set.surely()
+	return true
+}
+
+// Take takes a reply. It reports whether it was used: what comes with one that is not is
+// late, or another's.
+func (v *Voter) Take(now time.Duration, r Reply) bool {
+	if r.To != v.name {
+		return false
+	}
+	if r.Known > 0 {
+		if r.Known >= v.incarnation && r.Known < 1<<63 {
+			v.incarnation = r.Known + 1
+		}
+		return false
+	}
+	at, known := v.sent.When(r.Heard)
+	if r.ToIncarnation != v.incarnation || r.From != v.choice.Name || !known || now-at > v.set.Lease || !r.Term.Meant() {
+		return false
+	}
+	if r.Incarnation != v.seatIs { // it has started anew, unless this is late
+		if r.Heard <= v.anchor {
+			return false
+		}
+		v.seatIs, v.heard = r.Incarnation, 0
+	}
+	if r.Seq <= v.heard {
+		return false
+	}
+	v.heard, v.choice.HeardAt, v.anchor = r.Seq, now, max(v.anchor, r.Heard)
+	if v.holds = 0; r.Term >= v.term && r.Term > 0 {
+		v.term, v.holds, v.until = r.Term, r.Term, at+v.set.Lease
+	}
+	return true
+}
+
+// voice is what a seat knows of one voter.
+type voice struct {
+	name        string
+	incarnation uint64
+	heard       uint64
+	sent        lease.Sent
+	promised    time.Duration // it is, until then
+}
+
+// Seat is the side of a gateway that others promise themselves to.
+type Seat struct {
+	set         Settings
+	name        string
+	incarnation uint64
+	voices      []*voice // of the plan, by name
+	heardAt     time.Duration
+	known       Term // the highest
+	term        Term // its own; 0: it never held the duty
+	held        time.Duration
+	ends        []time.Duration // scratch
+}
+
+// NewSeat makes a seat that nobody has promised anything yet. incarnation is one that no
+// seat of this gateway had before.
+func NewSeat(now time.Duration, set Settings, name string, incarnation uint64, plan []string) *Seat {
+	s := &Seat{set: set, name: name, incarnation: max(incarnation, 1), heardAt: now}
+	s.SetPlan(plan)
+	return s
+}
+
+// SetPlan takes the names of all gateways.
+func (s *Seat) SetPlan(plan []string) {
+	old := s.voices
+	s.voices = nil
+	for _, name := range plan {
+		v := &voice{name: name}
+		if i := slices.IndexFunc(old, func(o *voice) bool { return o.name == name }); i >= 0 {
+			v = old[i]
+		}
+		s.voices = append(s.voices, v)
+	}
+	slices.SortFunc(s.voices, func(a, b *voice) int { return strings.Compare(a.name, b.name) })
+}
+
+func (s *Seat) voice(name string) *voice {
+	i, found := slices.BinarySearchFunc(s.voices, name, func(v *voice, n string) int { return strings.Compare(v.name, n) })
+	if !found {
+		return nil
+	}
+	return s.voices[i]
+}
+
+// Over reports whether nobody has told the seat anything for so long that it may be forgotten.
+func (s *Seat) Over(now time.Duration) bool { return now-s.heardAt > 3*s.set.surely() }
+
+// Until is how long the duty is held if nothing more is heard.
+func (s *Seat) Until() time.Duration {
+	s.ends = s.ends[:0]
+	for _, v := range s.voices {
+		s.ends = append(s.ends, v.promised)
+	}
+	slices.Sort(s.ends)
+	if len(s.ends) == 0 {
+		return 0
+	}
+	return s.ends[(len(s.ends)-1)/2] // more than half end no sooner
+}
+
+// Heard is how many gateways have been heard of within a lease, with their names.
+func (s *Seat) Heard(now time.Duration) (names []string) {
+	for _, v := range s.voices {
+		if v.promised > now {
+			names = append(names, v.name)
+		}
+	}
+	return names
+}
+
+// Holds is the term in which the duty is held now; 0: it is not.
+func (s *Seat) Holds(now time.Duration) Term {
+	if now >= s.Until() {
+		return 0
+	}
+	return s.term
+}
+
+// Hear takes a report. false: it is none of its own, or late.
+func (s *Seat) Hear(now time.Duration, r Report) (Reply, bool) {
+	v := s.voice(r.From)
+	if v == nil || r.To != s.name || r.Seq == 0 || !r.Term.Meant() {
+		return Reply{}, false
+	}
+	if r.Incarnation < v.incarnation {
+		return Reply{From: s.name, Incarnation: s.incarnation, To: r.From, ToIncarnation: r.Incarnation, Known: v.incarnation}, true
+	}
+	if r.Incarnation > v.incarnation { // what its former self promised lasts to its end
+		v.incarnation, v.heard = r.Incarnation, 0
+		v.sent.Forget()
+	}
+	if r.Seq <= v.heard {
+		return Reply{}, false
+	}
+	v.heard, s.heardAt = r.Seq, now
+	s.known = max(s.known, r.Term)
+	if at, known := v.sent.When(r.Heard); known && r.Promise && r.ToIncarnation == s.incarnation {
+		v.promised = max(v.promised, at+s.set.Lease)
+	}
+	s.settle(now)
+	reply := Reply{From: s.name, Incarnation: s.incarnation, To: r.From, ToIncarnation: r.Incarnation, Heard: r.Seq, Term: s.Holds(now)}
+	reply.Seq = v.sent.Next(now)
+	return reply, true
+}
+
+// settle takes a term where the duty is held anew, or another one's later is known.
+func (s *Seat) settle(now time.Duration) {
+	until := s.Until()
+	if now < until && (now >= s.held || s.term < s.known) {
+		h := fnv.New32a()
+		h.Write([]byte(s.name))
+		s.term = Term((s.known.round()+1)<<idBits) | Term(uint32(s.incarnation)^h.Sum32())
+		s.known = s.term
+	}
+	s.held = until
+}
+
+// Out is a message that a gateway has to send. One of Report and Reply is told.
+type Out struct {
+	To     string
+	Report *Report
+	Reply  *Reply
+}
+
+// Node is both sides of a gateway.
+type Node struct {
+	*Voter
+	seat        *Seat // nil: nobody reports here
+	incarnation uint64
+	plan        []string
+}
+
+// NewNode makes a gateway that has just started, one of the plan. incarnation is to be drawn
+// at random, and below 2^32.
+func NewNode(now time.Duration, set Settings, name string, incarnation uint64, plan []string) *Node {
+	return &Node{Voter: NewVoter(now, set, name, incarnation), incarnation: incarnation, plan: plan}
+}
+
+// SetPlan takes the names of other gateways.
+func (n *Node) SetPlan(plan []string) {
+	n.plan = plan
+	if n.seat != nil {
+		n.seat.SetPlan(plan)
+	}
+}
+
+// Tick is to be called each period, with those that may hold the duty, the best first.
+func (n *Node) Tick(now time.Duration, candidates []string) (Out, bool) {
+	if n.seat != nil && n.seat.Over(now) {
+		n.seat = nil
+	}
+	r, ok := n.Voter.Tick(now, candidates)
+	return Out{To: r.To, Report: &r}, ok
+}
+
+// TakeReport takes another's report; false: it is not used.
+func (n *Node) TakeReport(now time.Duration, r Report) (Out, bool) {
+	if n.seat == nil { // an incarnation of its own: what another one said counts for nothing
+		n.seat = NewSeat(now, n.set, n.name, n.incarnation, n.plan)
+		n.incarnation += 1 << 32
+	}
+	reply, ok := n.seat.Hear(now, r)
+	return Out{To: reply.To, Reply: &reply}, ok
+}
+
+// Holds is the term in which this gateway itself holds the duty; 0: it does not.
+func (n *Node) Holds(now time.Duration) Term {
+	if n.seat == nil {
+		return 0
+	}
+	return n.seat.Holds(now)
+}
+
+// HoldsUntil is how long it does if nothing more is heard.
+func (n *Node) HoldsUntil() time.Duration {
+	if n.seat == nil {
+		return 0
+	}
+	return n.seat.Until()
+}
+
+// Promised are the gateways that are promised to this one now.
+func (n *Node) Promised(now time.Duration) []string {
+	if n.seat == nil {
+		return nil
+	}
+	return n.seat.Heard(now)
+}
