policy: within its kind an endpoint is drawn by its size, which the host may change

A kind had one size, the mean of those listed, and machines of one kind may differ by a neighbour or for good. Now an endpoint's weight is its nominal size over its kind's mean, and Known lets the host change it (learnt.Resize: what a fleet has measured, less what the instance has learnt of the kind's speed itself, which would count twice).

Lists with one weight to a kind are drawn as before.

--- a/internal/learnt/learnt.go
+++ b/internal/learnt/learnt.go
@@ -3,6 +3,7 @@
 package learnt
 
 import (
+	"math"
 	"time"
 
 	"spokegw/policy"
@@ -119,3 +120,29 @@
 	})
 	return all
 }
+
+// speedShrinks is the number of samples that the module's own speed of a kind is shrunk by.
+const speedShrinks = 6
+
+// Resize has an instance take endpoints' sizes from what a fleet has measured: size tells one
+// by its kind, and false where the list's own size is to stand. What is measured holds the
+// speed of the kind as well, so what the instance has learnt of that itself is taken out of
+// it: it counts for what is learnt from now on, until the next call. It is to be called after
+// each list, and now and then.
+func Resize(now time.Duration, b *policy.Balancer, listed func(policy.EndpointID) (kind int, nominal float64), size func(policy.EndpointID) (float64, bool)) {
+	speeds := map[int]float64{}
+	b.Known(now, func(what string, of, _ int, x ...*float64) {
+		switch what {
+		case "kind":
+			speeds[of] = math.Exp(-*x[0] * *x[1] / (*x[1] + speedShrinks))
+		case "endpoint":
+			kind, nominal := listed(policy.EndpointID(of))
+			if measured, ok := size(policy.EndpointID(of)); ok && speeds[kind] > 0 {
+				nominal = measured / speeds[kind]
+			}
+			if nominal > 0 && !math.IsInf(nominal, 0) {
+				*x[6] = nominal
+			}
+		}
+	})
+}
--- a/internal/learnt/learnt_test.go
+++ b/internal/learnt/learnt_test.go
@@ -151,3 +151,29 @@
 		t.Error("the first call to discovery is not planned")
 	}
 }
+
+// What a fleet has measured stands in place of what the instance has learnt itself, and
+// what is not measured keeps the list's size and the instance's own speed.
+func TestResize(t *testing.T) {
+	b, now := taught(t)
+	kinds := map[policy.EndpointID]int{1: 0, 2: 1}
+	resize := func(sizes map[policy.EndpointID]float64) map[policy.EndpointID]Standing {
+		Resize(now, b, func(id policy.EndpointID) (int, float64) { return kinds[id], 1 }, func(id policy.EndpointID) (float64, bool) {
+			x, ok := sizes[id]
+			return x, ok
+		})
+		b.Request(now, policy.Request{ID: 1000 + policy.RequestID(len(sizes)), Left: second}) // which draws
+		return Standings(now, b)
+	}
+	own := resize(nil)
+	got := resize(map[policy.EndpointID]float64{1: 3})
+	if s := got[1].Speed; math.Abs(s-3) > 1e-9 {
+		t.Errorf("measured 3, and %v is the speed", s)
+	}
+	if got[2].Speed != own[2].Speed {
+		t.Errorf("nothing was measured, and the speed went from %v to %v", own[2].Speed, got[2].Speed)
+	}
+	if back := resize(nil); back[1].Speed != own[1].Speed {
+		t.Errorf("the speed is %v again, and was %v", back[1].Speed, own[1].Speed)
+	}
+}
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -108,7 +108,7 @@
 func grown[T any](s []T, n int) []T { return append(s, make([]T, max(n-len(s), 0))...) }
 
 // Known calls each for every row of what was learnt: of the load, of a kind, of a class of it, of
-// a class, of an endpoint. Each may change the numbers, but for an endpoint's from the third on.
+// a class, of an endpoint. Each may change the numbers, but for an endpoint's third to sixth.
 func (b *Balancer) Known(now time.Duration, each func(what string, of, class int, x ...*float64)) {
 	a, f := &b.adm, &b.fleet
 	a.fade(now)
@@ -127,7 +127,7 @@
 	for _, s := range f.servers {
 		h := s.at(now)
 		out, warm, speed, chance := float64(s.inFlight), s.warmth(now, &b.set), f.kinds[s.Kind].value(), s.chance
-		each("endpoint", int(s.ID), 0, &h, &s.credit, &out, &warm, &speed, &chance)
+		each("endpoint", int(s.ID), 0, &h, &s.credit, &out, &warm, &speed, &chance, &s.Nominal)
 		s.standing, f.stale = standing{1 - h, now}, true
 	}
 }
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -29,8 +29,7 @@
 // shrunk is the mean, drawn to 0 while it has few samples.
 func (m *mean) shrunk() float64 { return m.value * m.weight / (m.weight + speedPrior) }
 
-// classTime is what a class's requests take when they do not queue, in
-// seconds: per hinted second of work where there are hints.
+// classTime is what a class's requests take when they do not queue, in seconds: per hinted second of work, if any.
 type classTime struct {
 	per, n float64 // a low quantile, followed in the log, 0: not known yet; samples
 	work   mean    // hinted seconds, or 1
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -88,6 +88,9 @@
 	}
 	for _, e := range list {
 		e.Kind = min(max(e.Kind, 0), maxKind)
+		if !usable(e.Nominal) {
+			e.Nominal = 1
+		}
 		s := f.byID[e.ID]
 		if s == nil {
 			s = &server{loadAt: -reportFresh - 1, credit: random(), seen: f.parts}
@@ -117,10 +120,8 @@
 		for len(f.kinds) <= s.Kind {
 			f.kinds = append(f.kinds, kindSpeed{prior: 1, fit: make([]mean, f.classes)})
 		}
-		if usable(s.Nominal) {
-			sizes[s.Kind].add(s.Nominal, math.Inf(1))
-			f.kinds[s.Kind].prior = sizes[s.Kind].value
-		}
+		sizes[s.Kind].add(s.Nominal, math.Inf(1))
+		f.kinds[s.Kind].prior = sizes[s.Kind].value
 	}
 }
 
@@ -193,15 +194,15 @@
 	f.tabulate(k)
 }
 
-// weigh sets every endpoint's weight and returns k_i, their sum by kind.
+// weigh sets every endpoint's weight, by its size beside its kind's, and returns k_i, their sum by kind.
 func (f *fleet) weigh(now time.Duration, set *Settings, class int) []float64 {
+	f.growKinds()
 	k := make([]float64, len(f.kinds))
 	for _, s := range f.servers {
 		s.weight = 0
 		if s.usable() {
-			// Failure answered: what a cell shares may run short for all of it.
-			cell := math.Min(math.Exp(-f.cells[s.Cell&maxKind].shrunk()), 1)
-			s.weight = s.healthAt(now, class) * s.warmth(now, set) * cell
+			cell := math.Min(math.Exp(-f.cells[s.Cell&maxKind].shrunk()), 1) // what it shares may run short for all of it
+			s.weight = s.healthAt(now, class) * s.warmth(now, set) * cell * s.Nominal / f.kinds[s.Kind].prior
 			k[s.Kind] += s.weight
 		}
 	}
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -21,7 +21,9 @@
 
 func TestDrawFollowsTheSplit(t *testing.T) {
 	b := ready(t, ms, fleetOf(10))
-	b.fleet.kinds[0].prior, b.fleet.kinds[1].prior = 3, 1
+	for _, s := range b.fleet.servers {
+		s.Nominal = []float64{3, 1}[s.Kind]
+	}
 	b.fleet.stale = true
 	b.refresh(0) // unknown rate: proportional, 3 to 1
 	rng := rand.New(rand.NewPCG(3, 3))
@@ -38,6 +40,31 @@
 	}
 }
 
+// Within a kind servers are drawn by their size, also one that was told after the list.
+func TestDrawFollowsSizes(t *testing.T) {
+	list := fleetOf(4)
+	for i := range list {
+		list[i].Kind, list[i].Nominal = 0, 2
+	}
+	b := ready(t, ms, list)
+	b.Known(2*ms, func(what string, of, _ int, x ...*float64) {
+		if what == "endpoint" && of == int(list[0].ID) {
+			*x[6] = 6
+		}
+	})
+	b.refresh(0)
+	rng := rand.New(rand.NewPCG(3, 3))
+	hits := 0
+	for range 40000 {
+		if a := b.fleet.scan(rng.Float64, any1); a.ID == list[0].ID {
+			hits++
+		}
+	}
+	if part := float64(hits) / 40000; math.Abs(part-0.5) > 0.01 {
+		t.Errorf("three times the size of three others was drawn for %.3f, want 0.5", part)
+	}
+}
+
 func TestFewerInFlightWinsTiesByProbability(t *testing.T) {
 	b := ready(t, ms, fleetOf(2))
 	f := &b.fleet
