duty: a gateway that was away finds out whom the others have

Found by processes: the best candidate was killed and started again, and voted for itself for good, as the others stayed with the one that held the duty meanwhile. While it knows of nobody for a lease a voter now asks one more gateway with each report, and replies name the holder as far as known. A name is only a hint of whom to ask.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -75,6 +75,7 @@
 	ToIncarnation uint64
 	Heard         uint64 // the latest Report taken
 	Term          Term   // in which From holds the duty; 0: it does not
+	Holder        string // who does, as far as From knows; a hint of whom to ask
 	Known         uint64 // over 0: so late an incarnation of To is known, and nothing else is told
 }
 
@@ -98,6 +99,10 @@
 
 	holds Term          // in which the choice holds the duty, as it said
 	until time.Duration // and for how long that is believed
+
+	candidates []string      // the latest
+	asked      int           // of them, who holds the duty
+	hinted     time.Duration // the choice is one that was named, until then
 }
 
 // NewVoter makes the side of a gateway that has just started. incarnation is to be drawn at
@@ -106,6 +111,9 @@
 	return &Voter{set: set, name: name, incarnation: max(incarnation, 1), fresh: now + set.surely(), choice: lease.NewChoice(set.Lease)}
 }
 
+// Incarnation is the gateway's: later than that of any former self that others know of.
+func (v *Voter) Incarnation() uint64 { return v.incarnation }
+
 // Term is the highest that is known.
 func (v *Voter) Term() Term { return v.term }
 
@@ -118,21 +126,48 @@
 }
 
 // Tick is to be called each period. It takes those that may hold the duty, the best first,
-// and returns the next report; false: there is nobody to tell. Who holds it stays so while it
-// says so, whoever would be better.
-func (v *Voter) Tick(now time.Duration, candidates []string) (Report, bool) {
-	if holder, _ := v.Holder(now); holder == "" || !slices.Contains(candidates, holder) {
+// and returns the next reports: to whom this gateway would have hold it, and, while it has
+// known for a lease of nobody that does, to one more that may. Who holds it stays so while it
+// says so, whoever would be better: a gateway that was away finds out whom the others have.
+func (v *Voter) Tick(now time.Duration, candidates []string) (all []Report) {
+	v.candidates = candidates
+	holder, _ := v.Holder(now)
+	if away := !slices.Contains(candidates, v.choice.Name); away || holder == "" && now >= v.hinted {
 		if v.choice.Take(now, candidates) {
-			v.seatIs, v.heard, v.holds = 0, 0, 0
+			v.turn()
 		}
 	}
 	if v.choice.Name == "" {
-		return Report{}, false
+		return nil
 	}
 	r := Report{From: v.name, Incarnation: v.incarnation, To: v.choice.Name, ToIncarnation: v.seatIs, Heard: v.heard, Term: v.term}
 	r.Promise = v.promise(now)
 	r.Seq = v.sent.Next(now)
-	return r, true
+	all = append(all, r)
+	if now-v.until > v.set.Lease && len(candidates) > 1 {
+		v.asked = (v.asked + 1) % len(candidates)
+		if to := candidates[v.asked]; to != v.choice.Name {
+			all = append(all, Report{From: v.name, Incarnation: v.incarnation, To: to, Term: v.term, Seq: v.sent.Next(now)})
+		}
+	}
+	return all
+}
+
+// turn forgets what was of the choice before.
+func (v *Voter) turn() { v.seatIs, v.heard, v.holds = 0, 0, 0 }
+
+// hint takes another's word of who holds the duty, while this gateway knows of nobody. It is
+// only asked: what it says itself counts.
+func (v *Voter) hint(now time.Duration, r Reply) {
+	name := r.Holder
+	if r.Term > 0 {
+		name = r.From
+	}
+	if holder, _ := v.Holder(now); holder != "" || name == v.choice.Name || !slices.Contains(v.candidates, name) || now < v.hinted {
+		return
+	}
+	v.choice.Name, v.choice.HeardAt, v.hinted = name, now, now+v.set.Lease
+	v.turn()
 }
 
 // promise reports whether the next report promises, and notes that.
@@ -158,7 +193,10 @@
 		return false
 	}
 	at, known := v.sent.When(r.Heard)
-	if r.ToIncarnation != v.incarnation || r.From != v.choice.Name || !known || now-at > v.set.Lease || !r.Term.Meant() {
+	if r.ToIncarnation != v.incarnation || !known || now-at > v.set.Lease || !r.Term.Meant() {
+		return false
+	}
+	if v.hint(now, r); r.From != v.choice.Name {
 		return false
 	}
 	if r.Incarnation != v.seatIs { // it has started anew, unless this is late
@@ -332,12 +370,14 @@
 }
 
 // Tick is to be called each period, with those that may hold the duty, the best first.
-func (n *Node) Tick(now time.Duration, candidates []string) (Out, bool) {
+func (n *Node) Tick(now time.Duration, candidates []string) (out []Out) {
 	if n.seat != nil && n.seat.Over(now) {
 		n.seat = nil
 	}
-	r, ok := n.Voter.Tick(now, candidates)
-	return Out{To: r.To, Report: &r}, ok
+	for _, r := range n.Voter.Tick(now, candidates) {
+		out = append(out, Out{To: r.To, Report: &r})
+	}
+	return out
 }
 
 // TakeReport takes another's report; false: it is not used.
@@ -347,6 +387,7 @@
 		n.incarnation += 1 << 32
 	}
 	reply, ok := n.seat.Hear(now, r)
+	reply.Holder, _ = n.Holder(now)
 	return Out{To: reply.To, Reply: &reply}, ok
 }
 
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -110,7 +110,7 @@
 		if s.turned[m.n] {
 			order = []string{"b"}
 		}
-		if out, ok := s.nodes[m.n].Tick(s.now, order); ok {
+		for _, out := range s.nodes[m.n].Tick(s.now, order) {
 			s.send(m.n, out)
 		}
 	case "turn":
--- a/internal/fleet/duty/schedule_test.go
+++ b/internal/fleet/duty/schedule_test.go
@@ -19,16 +19,24 @@
 // two holders at once are over it.
 type way struct{ node *duty.Node }
 
+// fleet makes ways, and has the latest of each gateway.
+type fleet map[string]way
+
 func newWay(now time.Duration, set quota.Settings, name string, incarnation uint64, plan []quota.Gateway) gateways.Way {
+	return fleet{}.make(now, set, name, incarnation, plan)
+}
+
+func (f fleet) make(now time.Duration, set quota.Settings, name string, incarnation uint64, plan []quota.Gateway) gateways.Way {
 	var names []string
 	for _, g := range plan {
 		names = append(names, g.Name)
 	}
-	return way{duty.NewNode(now, duty.Settings{Lease: set.Lease, Drift: set.Drift}, name, incarnation, names)}
+	f[name] = way{duty.NewNode(now, duty.Settings{Lease: set.Lease, Drift: set.Drift}, name, incarnation, names)}
+	return f[name]
 }
 
 func (w way) Tick(now time.Duration, _ quota.Part, candidates []string) []gateways.Message {
-	return message(w.node.Tick(now, candidates))
+	return messages(w.node.Tick(now, candidates))
 }
 
 func (w way) Take(now time.Duration, body any) []gateways.Message {
@@ -37,14 +45,18 @@
 		w.node.Take(now, *out.Reply)
 		return nil
 	}
-	return message(w.node.TakeReport(now, *out.Report))
-}
-
-func message(o duty.Out, ok bool) []gateways.Message {
+	reply, ok := w.node.TakeReport(now, *out.Report)
 	if !ok {
 		return nil
 	}
-	return []gateways.Message{{To: o.To, Body: o}}
+	return messages([]duty.Out{reply})
+}
+
+func messages(all []duty.Out) (out []gateways.Message) {
+	for _, o := range all {
+		out = append(out, gateways.Message{To: o.To, Body: o})
+	}
+	return out
 }
 
 func (w way) Limit(now time.Duration) quota.Limit {
@@ -60,7 +72,8 @@
 	least := 1.0
 	for seed := *from; seed < *from+uint64(*schedules); seed++ {
 		set := quota.Settings{Lease: 2 * time.Second, Period: 200 * time.Millisecond, Drift: 0.01}
-		w := gateways.New(seed, set, 3, 1+int(seed%4), newWay)
+		f := fleet{}
+		w := gateways.New(seed, set, 3, 1+int(seed%4), f.make)
 		if err := w.Play(gateways.Draw(w, 40*time.Second)); err != nil {
 			t.Fatalf("seed %d, then: two hold the duty at once\n%v", seed, err)
 		}
@@ -81,6 +94,14 @@
 		if least = min(least, share); share < 0.99 {
 			t.Errorf("seed %d: the duty is held for %.3f of the time afterwards", seed, share)
 		}
+		known := map[string]bool{}
+		for _, n := range w.Nodes {
+			holder, _ := f[n.Name].node.Holder(w.Clock(n))
+			known[holder] = true
+		}
+		if len(known) != 1 || known[""] {
+			t.Errorf("seed %d: not all know of the same that holds it: %v", seed, known)
+		}
 	}
 	t.Logf("%d schedules, the least part of the time that it is held afterwards %.3f", *schedules, least)
 }
--- a/internal/lab/gateways/world.go
+++ b/internal/lab/gateways/world.go
@@ -134,6 +134,9 @@
 // Limit is what a gateway may admit now.
 func (w *World) Limit(n *Node) quota.Part { return n.limit.At(n.clock(w.Now)) }
 
+// Clock is a gateway's own time.
+func (w *World) Clock(n *Node) time.Duration { return n.clock(w.Now) }
+
 type event struct {
 	at  time.Duration
 	seq int
