weights: endpoints' capacities measured by the whole fleet, and a table in proportion

What one sidecar sees of an endpoint is a request now and then. Each gateway sums up time, work and times over work by class; the holder of the duty adds them up, and takes from Little's law and the queue before so many servers what part of an endpoint is busy: so what is asked for little is not slow. How many servers there are is found by kind, from what waits beyond what does not.

Tried first: the number of servers by the spread of capacities over a load, which took what was asked for little for twice what it can do.

--- /dev/null
+++ b/internal/fleet/weights/node.go
@@ -0,0 +1,197 @@
+package weights
+
+import (
+	"math"
+	"time"
+
+	"spokegw/internal/fleet/lease"
+)
+
+// staleLeases is how old a table may get before the list's own weights are gone back to.
+const staleLeases = 5
+
+// mostPartsAnswered bounds the parts of a table that one report is answered with.
+const mostPartsAnswered = 4
+
+// Out is a message that a gateway has to send. One of Report and Answer is told.
+type Out struct {
+	To     string
+	Report *Report
+	Answer *Answer
+}
+
+// Duty is what package duty knows at this gateway.
+type Duty struct {
+	Holder string // "": nobody, as far as is known
+	Term   uint64 // the holder's
+	Holds  uint64 // the term in which this gateway is the holder; 0: it is not
+
+	Incarnation uint64 // of this gateway
+}
+
+// Node is a gateway's part in the fleet's weights.
+type Node struct {
+	name  string
+	lease time.Duration
+	meter *Meter
+	copy  *Copy
+	sent  lease.Sent
+
+	// While it holds the duty:
+	term      uint64
+	estimator *Estimator
+	assigner  *Assigner
+	table     Table
+	parts     [][]byte
+	gateways  map[string]*told
+}
+
+// NewNode makes that of a gateway that has just started.
+func NewNode(name string, lease time.Duration) *Node {
+	return &Node{name: name, lease: lease, meter: NewMeter(), copy: NewCopy()}
+}
+
+// Tick is to be called each period: it takes what was seen since, and the list. It returns
+// the messages to be sent.
+func (n *Node) Tick(now time.Duration, seen []Sums, list []Endpoint, d Duty) (out []Out) {
+	n.meter.Add(now, seen)
+	n.hold(now, list, d)
+	if d.Holder == "" {
+		return nil
+	}
+	seq, parts := n.meter.Tick(now)
+	has, bits := n.copy.Has()
+	beat := n.sent.Next(now)
+	for i, sums := range parts {
+		r := Report{From: n.name, To: d.Holder, Incarnation: d.Incarnation, Beat: beat, Seq: seq, Part: i, Has: has, Parts: bits, Sums: sums}
+		out = append(out, Out{To: d.Holder, Report: &r})
+	}
+	return out
+}
+
+// hold computes the next table while the duty is this gateway's. One that has just got it
+// goes on from what is in force here.
+func (n *Node) hold(now time.Duration, list []Endpoint, d Duty) {
+	if d.Holds == 0 {
+		n.term, n.estimator, n.assigner, n.gateways, n.parts = 0, nil, nil, nil, nil
+		return
+	}
+	if d.Holds != n.term {
+		n.term, n.estimator, n.assigner, n.gateways = d.Holds, NewEstimator(), NewAssigner(d.Holds, n.copy.now), map[string]*told{}
+	}
+	n.estimator.SetEndpoints(now, list, func(id ID) (float64, bool) {
+		at, known := n.copy.now[id]
+		return math.Exp(at), known
+	})
+	n.estimator.Window(now)
+	if t := n.assigner.Step(n.estimator.Estimates()); t.Number != n.table.Number || n.parts == nil {
+		n.table, n.parts = t, t.pack()
+	}
+}
+
+// maxTold bounds the gateways that a holder hears.
+const maxTold = 512
+
+// TakeReport takes a part of another's report. false: it was impossible.
+func (n *Node) TakeReport(now time.Duration, r Report, d Duty) (out []Out, meant bool) {
+	if r.To != n.name || r.Part < 0 || r.Part >= MaxParts {
+		return nil, false
+	}
+	seen, err := unpack(r.Sums)
+	if err != nil {
+		return nil, false
+	}
+	if d.Holds == 0 || d.Holds != n.term {
+		return nil, true
+	}
+	g := n.gateways[r.From]
+	if g == nil {
+		if len(n.gateways) >= maxTold {
+			return nil, true
+		}
+		g = &told{}
+		n.gateways[r.From] = g
+	}
+	if g.take(now, &r) {
+		n.estimator.Take(r.From, seen)
+	}
+	return n.answer(r), true
+}
+
+// answer acknowledges a part, and gives the parts of the table that its sender lacks.
+func (n *Node) answer(r Report) (out []Out) {
+	a := Answer{From: n.name, To: r.From, ToIncarnation: r.Incarnation, Beat: r.Beat, Seq: r.Seq, Part: r.Part, Table: n.table.Number, Index: -1, Parts: len(n.parts)}
+	if r.Part == 0 { // others of the report would be answered with the same
+		for i, p := range n.parts {
+			if len(out) == mostPartsAnswered {
+				break
+			}
+			if r.Has == n.table.Number && r.Parts&(1<<i) != 0 {
+				continue
+			}
+			with := a
+			with.Index, with.Entries = i, p
+			out = append(out, Out{To: r.From, Answer: &with})
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, Out{To: r.From, Answer: &a})
+	}
+	return out
+}
+
+// TakeAnswer takes the holder's answer. What is not of the present holder's term, or answers
+// what went out longer than a lease ago, is not used. false: it was impossible.
+func (n *Node) TakeAnswer(now time.Duration, a Answer, d Duty) (meant bool) {
+	sent, known := n.sent.When(a.Beat)
+	if a.To != n.name || a.ToIncarnation != d.Incarnation || !known || now-sent > n.lease {
+		return true
+	}
+	if a.From != d.Holder || a.Table.Term != d.Term {
+		return true
+	}
+	n.meter.Acked(a.Seq, a.Part)
+	if a.Table.N == 0 { // it has none yet
+		return true
+	}
+	return n.copy.Take(sent, a) == nil
+}
+
+// Factors are those to be in force now, and whether they have changed.
+func (n *Node) Factors(now time.Duration) (map[ID]float64, bool) {
+	return n.copy.Factors(now, staleLeases*n.lease)
+}
+
+// Status is where a gateway stands.
+type Status struct {
+	Table     Number
+	Age       time.Duration // of the table; under 0: there is none
+	Stale     bool          // the list's own weights are in force, or are gone back to
+	Endpoints int           // that have another weight than the list gives them
+	Changes   int           // found in what endpoints can do; the holder's
+	Heard     int           // gateways; the holder's
+}
+
+// Status tells where this gateway stands.
+func (n *Node) Status(now time.Duration) (s Status) {
+	s.Table = n.copy.Number()
+	age, got := n.copy.Age(now)
+	s.Age, s.Stale, s.Endpoints, s.Heard = age, !got || age > staleLeases*n.lease, len(n.copy.now), len(n.gateways)
+	if !got {
+		s.Age = -1
+	}
+	if n.estimator != nil {
+		for _, k := range n.estimator.endpoints {
+			s.Changes += k.changes
+		}
+	}
+	return s
+}
+
+// Estimates are what the endpoints are taken to do, while the duty is this gateway's.
+func (n *Node) Estimates() []Estimate {
+	if n.estimator == nil {
+		return nil
+	}
+	return n.estimator.Estimates()
+}
--- /dev/null
+++ b/internal/fleet/weights/table.go
@@ -0,0 +1,239 @@
+package weights
+
+import (
+	"encoding/binary"
+	"errors"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// leastFactor and mostFactor bound what a table makes of a listed weight, whatever is
+	// measured or claimed: what is slow is still met, and so still measured.
+	leastFactor, mostFactor = 0.125, 8
+	// stepPart is by how much a factor moves in a period at most, in the log.
+	stepPart = 0.25
+	// stillPart is the least move: within it, and within what is not sure, nothing moves.
+	stillPart = 0.06
+
+	partEntries = 64 // of a table's part
+	entrySize   = 10 // bytes
+)
+
+// Table is what all members use, by endpoint: factors in thousandths. What is not in it has
+// 1,000.
+type Table struct {
+	Number
+	Factors map[ID]uint16
+}
+
+// Assigner moves a table towards what is estimated. It is the holder's.
+type Assigner struct {
+	table Table
+	logs  map[ID]float64
+}
+
+// NewAssigner goes on from the logs of the factors that are in force.
+func NewAssigner(term uint64, logs map[ID]float64) *Assigner {
+	return &Assigner{table: Table{Number: Number{Term: term}}, logs: maps.Clone(logs)}
+}
+
+// Step takes estimates and returns the next table, or the one before where nothing moves.
+func (a *Assigner) Step(all []Estimate) Table {
+	logs := make(map[ID]float64, len(all))
+	sum, nominal := 0.0, 0.0
+	for _, e := range all {
+		at := a.logs[e.ID]
+		to := math.Log(math.Max(leastFactor, math.Min(e.Factor, mostFactor)))
+		if off := to - at; math.Abs(off) > math.Max(stillPart, e.Deviation) {
+			at += math.Max(-stepPart, math.Min(off, stepPart))
+		}
+		logs[e.ID] = at
+		if e.Warm {
+			sum, nominal = sum+e.Nominal*math.Exp(at), nominal+e.Nominal
+		}
+	}
+	over := 0.0
+	if sum > 0 {
+		over = math.Log(sum / nominal)
+	}
+	if math.Abs(over) < stillPart/2 { // rounding is no reason to tell all of another table
+		over = 0
+	}
+	factors := make(map[ID]uint16, len(all))
+	for id, at := range logs {
+		at = math.Max(math.Log(leastFactor), math.Min(at-over, math.Log(mostFactor)))
+		logs[id] = at
+		if f := uint16(math.Round(1000 * math.Exp(at))); f != 1000 {
+			factors[id] = f
+		}
+	}
+	a.logs = logs
+	if a.table.N == 0 || !sameFactors(factors, a.table.Factors) {
+		a.table = Table{Number{a.table.Term, a.table.N + 1}, factors}
+	}
+	return a.table
+}
+
+func sameFactors(a, b map[ID]uint16) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, f := range a {
+		if o, known := b[id]; !known || o != f {
+			return false
+		}
+	}
+	return true
+}
+
+// pack makes the parts of a table, at least one.
+func (t Table) pack() (parts [][]byte) {
+	ids := make([]ID, 0, len(t.Factors))
+	for id := range t.Factors {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for {
+		var b []byte
+		for _, id := range ids[:min(len(ids), partEntries)] {
+			b = binary.BigEndian.AppendUint64(b, uint64(id))
+			b = binary.BigEndian.AppendUint16(b, t.Factors[id])
+		}
+		parts = append(parts, b)
+		if ids = ids[min(len(ids), partEntries):]; len(ids) == 0 {
+			return parts
+		}
+	}
+}
+
+var errTable = errors.New("weights: a part of a table that can't be meant")
+
+// unpackPart reads a part of a table.
+func unpackPart(b []byte, to map[ID]uint16) error {
+	if len(b)%entrySize != 0 || len(b) > partEntries*entrySize {
+		return errTable
+	}
+	for ; len(b) > 0; b = b[entrySize:] {
+		f := binary.BigEndian.Uint16(b[8:])
+		if f < leastFactor*1000 || f > mostFactor*1000 {
+			return errTable
+		}
+		to[ID(binary.BigEndian.Uint64(b))] = f
+	}
+	return nil
+}
+
+// mostTableParts is how many parts a table has at most.
+const mostTableParts = MaxEndpoints / partEntries
+
+// Answer is what the holder of the duty answers a part of a report.
+type Answer struct {
+	From          string
+	To            string
+	ToIncarnation uint64
+	Beat          uint64 // of the report
+	Seq           uint64 // of the report, and
+	Part          int    // of it, which was taken; -1: none was
+	Table         Number // that is in force
+	Index, Parts  int    // the part of it that Entries has, of so many; -1: none
+	Entries       []byte
+}
+
+// Copy is a member's copy of the table.
+type Copy struct {
+	number Number // of the latest that was heard of
+	parts  [][]byte
+	has    uint64
+	whole  Table         // the latest that is whole
+	fresh  time.Duration // when it was last in force, for sure; as the member's report went out
+	got    bool
+
+	now     map[ID]float64 // logs of the factors in force; as many as a table has
+	stepped time.Duration
+}
+
+// NewCopy has no table.
+func NewCopy() *Copy { return &Copy{now: map[ID]float64{}} }
+
+// Has is the latest table that was heard of, and which parts of it are there.
+func (c *Copy) Has() (Number, uint64) { return c.number, c.has }
+
+// Number is the table in force; none before there was one.
+func (c *Copy) Number() Number { return c.whole.Number }
+
+// Age is how old what is in force may be; false: there is no table.
+func (c *Copy) Age(now time.Duration) (time.Duration, bool) { return now - c.fresh, c.got }
+
+// Take takes what the holder answers a report that went out at a time. A table counts once
+// all its parts are there: what is torn is never in force. One that is older than the one
+// that is known is not taken.
+func (c *Copy) Take(sent time.Duration, a Answer) error {
+	if a.Parts < 1 || a.Parts > mostTableParts || a.Index >= a.Parts || a.Table.N == 0 {
+		return errTable
+	}
+	if a.Table.Less(c.number) {
+		return nil
+	}
+	if c.number.Less(a.Table) {
+		c.number, c.parts, c.has = a.Table, make([][]byte, a.Parts), 0
+	}
+	if len(c.parts) != a.Parts {
+		return errTable
+	}
+	if a.Index >= 0 && c.has&(1<<a.Index) == 0 {
+		if err := unpackPart(a.Entries, map[ID]uint16{}); err != nil {
+			return err
+		}
+		c.parts[a.Index] = a.Entries
+		c.has |= 1 << a.Index
+	}
+	if c.has != 1<<a.Parts-1 {
+		return nil
+	}
+	if c.whole.Number != c.number {
+		c.whole = Table{c.number, map[ID]uint16{}}
+		for _, p := range c.parts {
+			unpackPart(p, c.whole.Factors) // as it was checked
+		}
+	}
+	c.fresh, c.got = max(c.fresh, sent), true
+	return nil
+}
+
+// Factors are those to be in force, by endpoint; what is not there has 1. They move towards
+// the table in steps, and back to the list's own weights once the table is older than stale.
+// changed reports whether they are other than before.
+func (c *Copy) Factors(now, stale time.Duration) (factors map[ID]float64, changed bool) {
+	steps := min((now-c.stepped).Seconds()/Period.Seconds(), 4)
+	c.stepped = now
+	target := c.whole.Factors
+	if now-c.fresh > stale {
+		target = nil
+	}
+	next := make(map[ID]float64, len(target))
+	for id, f := range target {
+		next[id] = math.Log(float64(f) / 1000)
+	}
+	for id := range c.now {
+		if _, known := next[id]; !known {
+			next[id] = 0
+		}
+	}
+	factors = make(map[ID]float64, len(next))
+	for id, to := range next {
+		at := c.now[id]
+		step := stepPart * steps
+		moved := at + math.Max(-step, math.Min(to-at, step))
+		changed = changed || moved != at
+		if next[id] = moved; moved == 0 {
+			delete(next, id)
+			continue
+		}
+		factors[id] = math.Exp(moved)
+	}
+	c.now = next
+	return factors, changed
+}
