fleet: weights over processes, off without weights = true

Messages of the council have a version of their own, so that a program that does not know them shares quotas still; a worker with a bounded queue carries them under a lock between the shards' and the members'. Figures, Prometheus and spokegw status tell where the table stands.

--- a/cmd/spokegw/operate.go
+++ b/cmd/spokegw/operate.go
@@ -218,6 +218,10 @@
 			of := func(what string) float64 { return l.figures["fleet.quota."+name+"."+what] / 1000 }
 			fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\n", name, of("own"), of("granted"), of("demand"))
 		}
+		if _, on := l.figures["fleet.duty.here"]; on {
+			fmt.Fprintf(w, "WEIGHTS\tTABLE\tAGE\tSTALE\tENDPOINTS\tDUTY HERE\n\t%.0f\t%.1fs\t%.0f\t%.0f\t%.0f\n", l.figures["fleet.weights.table"],
+				l.figures["fleet.weights.age"]/1000, l.figures["fleet.weights.stale"], l.figures["fleet.weights.endpoints"], l.figures["fleet.duty.here"])
+		}
 		fmt.Fprintln(w)
 	}
 	fmt.Fprintln(w, "CLASS\tCOMPLETED\tREJECTED\tFAILED")
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -78,7 +78,7 @@
 		s.log.Info("endpoint by an operator", "id", id, "disabled", disabled)
 		told := s.endpoints.apply([]discovery.Entry{e.entry}, false, s.pool.Forget)
 		s.endpointsMoved()
-		return b.Endpoints(now, told, false)
+		return s.tellEndpoints(b, now, told, false)
 	})
 	return err
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -51,6 +51,7 @@
 	onKeyed   func(keyed.Note)                        // nil: nobody is told
 	durable   func(context.Context, keyed.Note) error // nil: nothing waits for a disk
 	pools     pools
+	measured  *measured            // nil: no fleet has weights
 	delay     func() time.Duration // of this sidecar's own processor; nil: not known
 }
 
@@ -452,6 +453,7 @@
 	}
 	c.traced(a, result)
 	told := s.blamed(result)
+	s.measure(c, a, told)
 	s.settle(c, a, told)
 	c.slow = result.Result == policy.NoAnswer
 	c.open--
@@ -471,10 +473,19 @@
 	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
 		told := s.endpoints.apply(entries, full, s.pool.Forget)
 		s.endpointsMoved()
-		return b.Endpoints(now, told, full)
+		return s.tellEndpoints(b, now, told, full)
 	})
 }
 
+// tellEndpoints tells the module of a list, or changes, with the sizes that are in force.
+func (s *Service) tellEndpoints(b *policy.Balancer, now time.Duration, told []policy.Endpoint, full bool) []policy.Action {
+	actions := b.Endpoints(now, told, full)
+	if s.measured != nil && s.measured.inUse {
+		s.resize(b, now)
+	}
+	return actions
+}
+
 // Entries is the list as discovery has told it.
 func (s *Service) Entries() []discovery.Entry {
 	s.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,10 +6,12 @@
 // The order of locks, each taken only under those before it:
 //
 //  1. shard: holders and stewards of some contracts, one shard at a time
-//  2. members: who is up
-//  3. published: the snapshot that readers see
+//  2. council: who holds the duty, and the endpoints' weights
+//  3. members: who is up
+//  4. published: the snapshot that readers see
 //
-// Under a shard's lock the limits of its contracts are put in force (Account.SetLimit),
+// Under a shard's lock the limits of its contracts are put in force (Account.SetLimit), and
+// under the council's what was seen is asked for and weights are put in force (Pool), each of
 // which may take the lock of a service; nothing is called back from there. Readers of the
 // snapshot take no lock.
 package fleet
@@ -31,13 +33,16 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"spokegw/internal/fleet/council"
 	"spokegw/internal/fleet/message"
 	"spokegw/internal/fleet/quota"
 	"spokegw/internal/fleet/rank"
+	"spokegw/internal/fleet/weights"
 )
 
 const (
 	rankShard = iota + 1
+	rankCouncil
 	rankMembers
 	rankPublished
 )
@@ -68,6 +73,14 @@
 	Account Account
 }
 
+// Pool is what the fleet's weights are of in this process.
+type Pool interface {
+	council.Sight
+	// SetFactors puts factors of the list's weights in force; what is not there has 1. nil:
+	// there are none, and each process goes by its own sight.
+	SetFactors(map[weights.ID]float64)
+}
+
 // Config is what a fleet is made of.
 type Config struct {
 	Name      string // of this gateway, one of Gateways
@@ -76,6 +89,7 @@
 	Gateways  []quota.Gateway
 	Addresses map[string]string // of gateways by name, that they are reached at from here
 	Contracts []Contract
+	Pool      Pool // nil: the fleet decides on no weights
 	quota.Settings
 }
 
@@ -83,6 +97,7 @@
 type Status struct {
 	Up        []string // gateways, by name
 	Contracts map[string]Standing
+	Council   council.Status
 }
 
 // Standing is where one contract stands here.
@@ -123,6 +138,7 @@
 	transport *transport
 	list      *memberlist.Memberlist
 	shards    [shards]shard
+	council   *table
 	stopping  chan struct{}
 
 	members rank.Mutex
@@ -146,12 +162,11 @@
 // contract is one, under its shard's lock.
 type contract struct {
 	Contract
-	meter   quota.Meter
-	node    *quota.Node
-	order   []string // of candidates, best first
-	orderOf uint64   // the members that it is of
-	demand  quota.Part
-	was     string // steward, when it was last told
+	meter  quota.Meter
+	node   *quota.Node
+	order  order
+	demand quota.Part
+	was    string // steward, when it was last told
 }
 
 // New makes a fleet and opens its address. Nothing goes out before Run.
@@ -174,6 +189,7 @@
 		f.shards[i] = shard{mu: rank.Mutex{Rank: rankShard, Name: "shard"}, queue: make(chan message.Message, shardQueue), contracts: map[string]*contract{}}
 	}
 	incarnation := 1 + rand.Uint64N(1<<31)
+	f.council = newTable(&c, incarnation)
 	for _, k := range c.Contracts {
 		f.shardOf(k.Name).contracts[k.Name] = &contract{Contract: k, node: quota.NewNode(0, c.Settings, c.Name, incarnation, c.Gateways)}
 	}
@@ -235,6 +251,7 @@
 	for i := range f.shards {
 		f.replaceShard(&f.shards[i], gateways)
 	}
+	f.replaceTable(gateways)
 	f.members.Lock()
 	for name := range f.up {
 		if _, known := addresses[name]; !known {
@@ -272,6 +289,9 @@
 			going.Go(func() { f.work(s) })
 		}
 	}
+	if f.config.Pool != nil {
+		going.Go(f.workTable)
+	}
 	going.Go(f.rejoin)
 	slog.Info("fleet: taking part", "name", f.config.Name, "listen", f.Addr(), "gateways", len(f.config.Gateways), "contracts", len(f.config.Contracts))
 	<-ctx.Done()
@@ -282,8 +302,12 @@
 	return f.list.Shutdown()
 }
 
-// release has this process admit nothing of what is shared: another may have its place.
+// release has this process admit nothing of what is shared, and use no weights of the
+// fleet's: another may have its place.
 func (f *Fleet) release() {
+	if f.config.Pool != nil {
+		f.config.Pool.SetFactors(nil)
+	}
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.Lock()
@@ -367,24 +391,30 @@
 	f.published.Store(&next)
 }
 
-// candidates are those that may be steward of a contract, in the order that all agree on
-// who take the same to be up (rendezvous hashing, Thaler and Ravishankar 1998): when one
-// is lost only what it was steward of moves. They are put in order once for each change.
-func (f *Fleet) candidates(c *contract) []string {
+// order is an order of candidates, best first, and the members that it is of.
+type order struct {
+	names []string
+	of    uint64
+}
+
+// candidates are those that may be steward of a contract, or hold a duty, in the order that
+// all agree on who take the same to be up (rendezvous hashing, Thaler and Ravishankar 1998):
+// when one is lost only what it had moves. They are put in order once for each change.
+func (f *Fleet) candidates(what string, o *order) []string {
 	f.members.Lock()
 	version := f.version
-	if version == c.orderOf {
+	if version == o.of {
 		f.members.Unlock()
-		return c.order
+		return o.names
 	}
 	names := append(slices.Collect(maps.Keys(f.up)), f.config.Name)
 	f.members.Unlock()
-	weights := make(map[string]uint64, len(names))
+	places := make(map[string]uint64, len(names))
 	for _, n := range names {
-		weights[n] = weight(c.Name, n)
+		places[n] = weight(what, n)
 	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weights[a], weights[b]) })
-	c.order, c.orderOf = names, version
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(places[a], places[b]) })
+	o.names, o.of = names, version
 	return names
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -189,7 +189,7 @@
 	d := delegate{f}
 	d.NotifyMsg(nil)
 	d.NotifyMsg(good[:len(good)-1])
-	d.NotifyMsg(append([]byte{message.Version + 1}, good[1:]...))
+	d.NotifyMsg(append([]byte{message.CouncilVersion + 1}, good[1:]...))
 	for range 4 * shardQueue { // a shard without contracts has no worker
 		d.NotifyMsg(other)
 	}
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -57,7 +57,7 @@
 	requests, work := c.Account.Asked()
 	now := f.now()
 	c.demand = c.meter.Add(now, requests, work)
-	out := c.node.Tick(now, c.demand, f.candidates(c))
+	out := c.node.Tick(now, c.demand, f.candidates(c.Name, &c.order))
 	f.enforce(c)
 	return c.out(out, before)
 }
@@ -140,8 +140,15 @@
 		d.f.broken.Add(1)
 		return
 	}
+	queue := d.f.council.queue
+	switch {
+	case m.Report != nil || m.Reply != nil:
+		queue = d.f.shardOf(m.Contract).queue
+	case d.f.council.node == nil: // the others' file has weights on
+		return
+	}
 	select {
-	case d.f.shardOf(m.Contract).queue <- m:
+	case queue <- m:
 	default:
 		d.f.dropped.Add(1)
 	}
--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -65,6 +65,14 @@
 	return e, nil
 }
 
+// SetWork sets the work of a request that does not tell: a neighbour takes a part of the
+// machine, or gives it back.
+func (e *Endpoint) SetWork(work time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.work = work
+}
+
 // Addr is where the endpoint listens.
 func (e *Endpoint) Addr() string { return e.listener.Addr().String() }
 
@@ -119,7 +127,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer e.release()
+	e.mu.Lock()
 	work := e.work
+	e.mu.Unlock()
 	if us, err := strconv.ParseFloat(r.Header.Get("Req-Cost"), 64); err == nil {
 		work = time.Duration(us * float64(time.Microsecond))
 	}
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -35,8 +35,11 @@
 	Burst    float64
 	Lease    time.Duration
 	Alone    bool // no fleet: each gateway holds its even part for itself
-	Seed     uint64
-	Log      io.Writer // of the processes; nil: nowhere
+	Weights  bool // endpoints are weighed by what the fleet measures
+	// Endpoints are what serves; none: two that do anything in a millisecond.
+	Endpoints []lab.EndpointConfig
+	Seed      uint64
+	Log       io.Writer // of the processes; nil: nowhere
 }
 
 // Team is the one with the quota.
@@ -90,8 +93,13 @@
 }
 
 func (f *Federation) start() (err error) {
-	for range 2 {
-		e, err := lab.StartEndpoint(lab.EndpointConfig{Workers: 2000, Work: time.Millisecond, Body: 10, Seen: f.met})
+	if len(f.Endpoints) == 0 {
+		whole := lab.EndpointConfig{Workers: 2000, Work: time.Millisecond, Body: 10}
+		f.Endpoints = []lab.EndpointConfig{whole, whole}
+	}
+	for _, c := range f.Endpoints {
+		c.Seen = f.met
+		e, err := lab.StartEndpoint(c)
 		if err != nil {
 			return err
 		}
@@ -206,7 +214,7 @@
 		return g.write("operator.toml", b.Bytes())
 	}
 	fmt.Fprintf(&b, "rate = %v\nburst = %v\nquota = 'fleet'\n", f.Rate, f.Burst)
-	fmt.Fprintf(&b, "[fleet]\nname = %q\nlisten = %q\nlease = '%v'\nperiod = '%v'\n", g.Name, g.fleet, f.Lease, f.Lease/10)
+	fmt.Fprintf(&b, "[fleet]\nname = %q\nlisten = %q\nlease = '%v'\nperiod = '%v'\nweights = %v\n", g.Name, g.fleet, f.Lease, f.Lease/10, f.Weights)
 	for p := range f.Partners {
 		fmt.Fprintf(&b, "[[fleet.partner]]\nname = 'p%d'\npart = %v\n", p, f.Parts[p])
 	}
@@ -345,6 +353,9 @@
 	f.keys[r.Header.Get("Idempotency-Key")]++
 }
 
+// Endpoint is one of those that serve.
+func (f *Federation) Endpoint(i int) *lab.Endpoint { return f.endpoints[i] }
+
 // Ran is how many requests came to the endpoints since a time.
 func (f *Federation) Ran(since time.Time) int {
 	f.mu.Lock()
--- a/internal/learnt/learnt.go
+++ b/internal/learnt/learnt.go
@@ -128,7 +128,7 @@
 // by its kind, and false where the list's own size is to stand. What is measured holds the
 // speed of the kind as well, so what the instance has learnt of that itself is taken out of
 // it: it counts for what is learnt from now on, until the next call. It is to be called after
-// each list, and now and then.
+// each list, and now and then. A nominal size that is not told is 1.
 func Resize(now time.Duration, b *policy.Balancer, listed func(policy.EndpointID) (kind int, nominal float64), size func(policy.EndpointID) (float64, bool)) {
 	speeds := map[int]float64{}
 	b.Known(now, func(what string, of, _ int, x ...*float64) {
@@ -140,7 +140,10 @@
 			if measured, ok := size(policy.EndpointID(of)); ok && speeds[kind] > 0 {
 				nominal = measured / speeds[kind]
 			}
-			if nominal > 0 && !math.IsInf(nominal, 0) {
+			if !(nominal > 0) {
+				nominal = 1
+			}
+			if !math.IsInf(nominal, 0) {
 				*x[6] = nominal
 			}
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,6 +37,10 @@
 	reloads      = prometheus.NewDesc("spokegw_config_reloads_total", "Files taken at SIGHUP.", nil, nil)
 	fleetUp      = prometheus.NewDesc("spokegw_fleet_up", "Gateways of the fleet that are taken to be up, this one too.", nil, nil)
 	fleetQuota   = prometheus.NewDesc("spokegw_fleet_quota", "Fractions of a quota: what this gateway may use of its own, what was granted to it, what it could use.", []string{"quota", "part"}, nil)
+	fleetDuty    = prometheus.NewDesc("spokegw_fleet_duty", "1 at the gateway that holds the fleet's duty, 0 elsewhere.", nil, nil)
+	fleetAge     = prometheus.NewDesc("spokegw_fleet_weights_age_seconds", "Age of the fleet's weights in force here; under 0: there are none.", nil, nil)
+	fleetWeights = prometheus.NewDesc("spokegw_fleet_weights_endpoints", "Endpoints that have another weight than the list gives them.", nil, nil)
+	fleetChanges = prometheus.NewDesc("spokegw_fleet_weights_changes_total", "Changes found in what endpoints can do, by the holder of the duty.", nil, nil)
 	fleetLost    = prometheus.NewDesc("spokegw_fleet_messages_unused_total", "Messages of the fleet that were not used, by reason.", []string{"reason"}, nil)
 	reloadErrors = prometheus.NewDesc("spokegw_config_reload_errors_total", "Files turned down at SIGHUP.", nil, nil)
 )
@@ -46,6 +50,18 @@
 	Up                            int // gateways, this one too
 	Dropped, Broken, OtherVersion uint64
 	Quotas                        []Quota
+	Weights                       *Weights // nil: the fleet has none
+}
+
+// Weights is where the fleet's weights stand here.
+type Weights struct {
+	Known, Here bool // who holds the duty is known; it is this gateway
+	Heard       int  // gateways, by the holder
+	Term, Table uint64
+	Age         time.Duration // under 0: there was no table yet
+	Stale       bool
+	Endpoints   int // that have another weight than the list gives them
+	Changes     int // found in what endpoints can do, by the holder
 }
 
 // Quota is where one quota stands, in fractions of it.
@@ -62,7 +78,7 @@
 }
 
 func (c *collector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, reloads, reloadErrors, fleetUp, fleetQuota, fleetLost} {
+	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetLost} {
 		to <- d
 	}
 }
@@ -95,6 +111,16 @@
 	count(fleetLost, f.Dropped, "no room")
 	count(fleetLost, f.Broken, "broken")
 	count(fleetLost, f.OtherVersion, "other version")
+	if w := f.Weights; w != nil {
+		here := 0.0
+		if w.Here {
+			here = 1
+		}
+		gauge(fleetDuty, here)
+		gauge(fleetAge, w.Age.Seconds())
+		gauge(fleetWeights, float64(w.Endpoints))
+		count(fleetChanges, uint64(w.Changes))
+	}
 	for _, q := range f.Quotas {
 		gauge(fleetQuota, q.Own, q.Name, "own")
 		gauge(fleetQuota, q.Granted, q.Name, "granted")
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -18,6 +18,7 @@
 	Key          []byte // nil: messages are not sealed
 	Partners     []Partner
 	Gateways     []FleetGateway
+	Weights      bool // endpoints are weighed by what the whole fleet measures
 	quota.Settings
 
 	key string
@@ -44,6 +45,7 @@
 		Period: t.duration("period", 200*time.Millisecond, time.Millisecond, time.Hour),
 		Drift:  t.number("drift", 0.01, 0, 1),
 	}
+	f.Weights = get(t, "weights", "true or false", false)
 	f.Key = readFleetKey(t)
 	for _, p := range t.tables("partner", quota.MaxGateways) {
 		partner := Partner{key: p.key, Name: name(p), Part: p.number("part", 0, 0, 1)}
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -12,6 +12,7 @@
 	"spokegw/internal/core"
 	"spokegw/internal/fleet"
 	"spokegw/internal/fleet/quota"
+	"spokegw/internal/fleet/weights"
 	"spokegw/internal/metrics"
 	"spokegw/internal/operator"
 )
@@ -21,6 +22,7 @@
 	fleet    atomic.Pointer[fleet.Fleet] // nil: it does not take part
 	config   fleet.Config
 	accounts []*account
+	pool     pool
 	yields   chan struct{} // another process takes the place, and may have taken it
 }
 
@@ -53,6 +55,34 @@
 	s.SetPart(a.quota.Team, a.class(s), l.Own.Fraction(), l.Grant.Fraction(), left)
 }
 
+// pool is what the fleet's weights are of: the endpoints of all services. It is a fleet.Pool.
+type pool struct {
+	services atomic.Pointer[[]*core.Service] // a reload may bring others
+}
+
+// Seen is what all services have seen since the last call.
+func (p *pool) Seen() (all []weights.Sums) {
+	for _, s := range *p.services.Load() {
+		all = append(all, s.Seen()...)
+	}
+	return all
+}
+
+// Endpoints are those of all services' lists.
+func (p *pool) Endpoints() (all []weights.Endpoint) {
+	for _, s := range *p.services.Load() {
+		all = append(all, s.WeightEndpoints()...)
+	}
+	return all
+}
+
+// SetFactors puts factors in force at all services.
+func (p *pool) SetFactors(factors map[weights.ID]float64) {
+	for _, s := range *p.services.Load() {
+		s.SetFactors(factors)
+	}
+}
+
 // joinFleet makes the place in the fleet; nil where there is none. A process that takes
 // over has it once the one before has let it go.
 func (s *Sidecar) joinFleet() error {
@@ -66,6 +96,9 @@
 		sh.accounts = append(sh.accounts, a)
 		sh.config.Contracts = append(sh.config.Contracts, fleet.Contract{Name: q.Name(), Account: a})
 	}
+	if o.Weights {
+		sh.config.Pool = &sh.pool
+	}
 	s.shared = sh
 	s.useShared(s.services)
 	if s.upgrade.predecessor != nil {
@@ -91,6 +124,11 @@
 	if s.shared == nil {
 		return
 	}
+	all := make([]*core.Service, 0, len(services))
+	for _, r := range services {
+		all = append(all, r.service)
+	}
+	s.shared.pool.services.Store(&all)
 	for _, a := range s.shared.accounts {
 		for _, r := range services {
 			if r.definition.Name == a.quota.Service {
@@ -177,7 +215,7 @@
 		return fmt.Errorf("fleet: it can't be put in or taken away while the sidecar runs")
 	case now == nil:
 		return nil
-	case f.Fleet.Name != now.Name || f.Fleet.Listen != now.Listen || f.Fleet.Settings != now.Settings || !slices.Equal(f.Fleet.Key, now.Key):
+	case f.Fleet.Name != now.Name || f.Fleet.Listen != now.Listen || f.Fleet.Settings != now.Settings || f.Fleet.Weights != now.Weights || !slices.Equal(f.Fleet.Key, now.Key):
 		return fmt.Errorf("fleet: only its partners and gateways can be changed while the sidecar runs")
 	case !slices.Equal(f.Quotas(), s.config.Operator.Quotas()):
 		return fmt.Errorf("quota: which calls share limits with the fleet can't be changed while the sidecar runs")
@@ -214,6 +252,10 @@
 		st := status.Contracts[c.Name]
 		now.Quotas = append(now.Quotas, metrics.Quota{Name: c.Name, Own: st.Own.Fraction(), Granted: st.Grant.Fraction(), Demand: st.Demand.Fraction()})
 	}
+	if s.shared.config.Pool != nil {
+		c := status.Council
+		now.Weights = &metrics.Weights{Here: c.Holds, Known: c.Holder != "", Term: c.Table.Term, Table: c.Table.N, Stale: c.Stale, Age: c.Age, Endpoints: c.Endpoints, Changes: c.Changes, Heard: c.Heard}
+	}
 	return now
 }
 
@@ -231,5 +273,16 @@
 		fmt.Fprintf(&b, "node.fleet.quota.%s.own:%.0f|g\nnode.fleet.quota.%s.granted:%.0f|g\nnode.fleet.quota.%s.demand:%.0f|g\n",
 			name, 1000*q.Own, name, 1000*q.Granted, name, 1000*q.Demand)
 	}
+	if w := f.Weights; w != nil {
+		flag := func(is bool) int {
+			if is {
+				return 1
+			}
+			return 0
+		}
+		fmt.Fprintf(&b, "node.fleet.duty.known:%d|g\nnode.fleet.duty.here:%d|g\nnode.fleet.duty.heard:%d|g\n", flag(w.Known), flag(w.Here), w.Heard)
+		fmt.Fprintf(&b, "node.fleet.weights.table:%d|g\nnode.fleet.weights.age:%d|g\nnode.fleet.weights.stale:%d|g\nnode.fleet.weights.endpoints:%d|g\nnode.fleet.weights.changes:%d|g\n",
+			w.Table, w.Age.Milliseconds(), flag(w.Stale), w.Endpoints, w.Changes)
+	}
 	return b.String()
 }
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -138,6 +138,9 @@
 	if s.begun != nil && s.begun.Overload != nil {
 		r.service.OnDelay(func() time.Duration { return s.brake.delay() })
 	}
+	if s.begun != nil && s.begun.Fleet != nil && s.begun.Fleet.Weights {
+		r.service.Measure()
+	}
 	r.service.OnKeyed(func(n keyed.Note) { r.upgrade.noteKey(handover.Key{Of: r.of, Note: n}) })
 	return r, nil
 }
