sites: a plan for the loss of a whole site: who is gone, where load goes, what is refused, the return

Each sidecar learnt each endpoint of a lost zone by losses of its own, and each took it back by itself. It comes back by a part of the fleet, the same for all members.

--- /dev/null
+++ b/internal/fleet/sites/door.go
@@ -0,0 +1,151 @@
+package sites
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// lookers are how many gateways go on meeting a lost site, each one endpoint of it, so
+	// that somebody sees it come back: whatever the size of the fleet.
+	lookers = 8
+	// lookTurn is how long those are the same.
+	lookTurn = 4 * time.Second
+	// doorRises is by which a member lets in more of what is returning, in a second.
+	doorRises = 0.1
+)
+
+// Door is a member's side: what it does about a plan. What gets worse is taken at once, and
+// what gets better in steps, also where the plan is no longer fresh: a member that is cut off
+// in the midst of a return does not meet the site whole at once.
+type Door struct {
+	name    uint64
+	home    uint32
+	members int // of the fleet
+	plan    Plan
+	parts   map[uint32]float64 // of sites that are not met whole; as many as sites
+	stepped time.Duration
+	turn    uint64
+}
+
+// NewDoor makes that of a gateway of a site, one of so many.
+func NewDoor(name, home string, members int) *Door {
+	return &Door{name: uint64(hash(name)), home: hash(home), members: members, parts: map[uint32]float64{}}
+}
+
+// SetHome takes another site of the gateway's, and how many there are.
+func (d *Door) SetHome(home string, members int) { d.home, d.members = hash(home), members }
+
+// Step takes the plan in force; the zero one: there is none that is fresh.
+func (d *Door) Step(now time.Duration, p Plan) {
+	rise := doorRises * max(0, min((now-d.stepped).Seconds(), 4))
+	d.stepped, d.plan, d.turn = now, p, uint64(now/lookTurn)
+	to := map[uint32]float64{}
+	for _, s := range p.Sites {
+		if to[s.Site] = s.Part; s.Site == d.home { // it is here, and meets itself
+			to[s.Site] = 1
+		}
+	}
+	for h := range d.parts {
+		if _, told := to[h]; !told {
+			to[h] = 1
+		}
+	}
+	for h, part := range to {
+		was, known := d.parts[h]
+		if !known {
+			was = 1
+		}
+		if part = math.Min(part, was+rise); part < 1 {
+			d.parts[h] = part
+		} else {
+			delete(d.parts, h)
+		}
+	}
+}
+
+// Clone is a copy for readers, which nobody steps.
+func (d *Door) Clone() *Door {
+	c := *d
+	c.parts = maps.Clone(d.parts)
+	return &c
+}
+
+// Site is where a site stands by the plan, and which part of it this gateway meets.
+func (d *Door) Site(name string) (State, float64) {
+	part, hurt := d.parts[hash(name)]
+	if !hurt {
+		part = 1
+	}
+	for _, s := range d.plan.Sites {
+		if s.Site == hash(name) {
+			return s.State, part
+		}
+	}
+	return Whole, part
+}
+
+// Hurt reports whether any site is not met whole, or anybody is turned away.
+func (d *Door) Hurt() bool { return len(d.parts)+len(d.plan.Admit) > 0 }
+
+// Meets reports whether this gateway sends first attempts to an endpoint of a site. Of a site
+// that returns each gateway meets a part of the endpoints, and each endpoint is met by a part
+// of the gateways: the same of both.
+func (d *Door) Meets(site string, endpoint uint64) bool {
+	part, hurt := d.parts[hash(site)]
+	if !hurt {
+		return true
+	}
+	if part > 0 && spread(d.name, endpoint, 0) < part {
+		return true
+	}
+	return part < firstPart && d.looks(site, endpoint)
+}
+
+// looks reports whether this gateway goes on looking at an endpoint of a lost site.
+func (d *Door) looks(site string, endpoint uint64) bool {
+	h := uint64(hash(site))
+	return spread(d.name, h, d.turn)*float64(max(d.members, 1)) < lookers && spread(endpoint, d.name, d.turn) < 0.25
+}
+
+// Factor is by which the weights of a site's endpoints are multiplied.
+func (d *Door) Factor(site string) float64 {
+	if len(d.parts) == 0 {
+		return 1
+	}
+	h := hash(site)
+	for _, s := range d.plan.Sites {
+		if f, told := s.Factor[d.home]; told && s.Site == h {
+			return f
+		}
+	}
+	return 1
+}
+
+// Admits reports whether a request of a group is let in; random is drawn from 0 to 1.
+func (d *Door) Admits(g Group, random float64) bool {
+	for _, a := range d.plan.Admit {
+		if a.Group == g {
+			return random < a.Part
+		}
+	}
+	return true
+}
+
+// After is when a client that is refused may come back: spread over the time in which the
+// site may return, so that those that are refused together do not come together.
+func (d *Door) After(random float64) time.Duration {
+	return time.Duration((0.5 + random) * float64(max(d.plan.Return, leastReturn)))
+}
+
+// spread spreads numbers over [0, 1).
+func spread(a, b, c uint64) float64 {
+	x := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f ^ c*0x165667b19e3779f9
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
