fleet: sites over processes, off without [[fleet.site]]

Endpoints of a site that the plan has nobody meet are draining to the decision module, with no new line of it; those that return are met by a part of the gateways, and each gateway meets a part of them. What is refused is refused at the door, with a Retry-After spread over the planned return. An attempt that a later one was sooner than counts as evidence: with second copies nothing else tells of endpoints that fell silent.

--- a/cmd/spokegw/operate.go
+++ b/cmd/spokegw/operate.go
@@ -222,6 +222,13 @@
 			fmt.Fprintf(w, "WEIGHTS\tTABLE\tAGE\tSTALE\tENDPOINTS\tDUTY HERE\n\t%.0f\t%.1fs\t%.0f\t%.0f\t%.0f\n", l.figures["fleet.weights.table"],
 				l.figures["fleet.weights.age"]/1000, l.figures["fleet.weights.stale"], l.figures["fleet.weights.endpoints"], l.figures["fleet.duty.here"])
 		}
+		if names := l.between("fleet.site.", ".state"); len(names) > 0 {
+			fmt.Fprintln(w, "SITE\tSTATE\tMET")
+			for _, name := range names {
+				state := min(max(int(l.figures["fleet.site."+name+".state"]), 0), 3)
+				fmt.Fprintf(w, "%s\t%s\t%.2f\n", name, [...]string{"whole", "doubted", "lost", "returning"}[state], l.figures["fleet.site."+name+".met"]/1000)
+			}
+		}
 		fmt.Fprintln(w)
 	}
 	fmt.Fprintln(w, "CLASS\tCOMPLETED\tREJECTED\tFAILED")
--- a/internal/core/contracts.go
+++ b/internal/core/contracts.go
@@ -29,7 +29,7 @@
 // refused, and nil for one that goes on.
 func (s *Service) admit(x *Exchange) *Answer {
 	if s.broker == nil { // set before the first request, and kept
-		return nil
+		return s.letIn(x)
 	}
 	if !s.rooms[x.head.Front].Places.TryAcquire(1) {
 		return &Answer{Status: http.StatusServiceUnavailable, Reason: "the service has as many requests as it may hold", RetryAfter: placeRetry}
@@ -37,6 +37,10 @@
 	refused := s.judge(x)
 	if refused != nil {
 		s.leave(x.head.Front)
+		return refused
+	}
+	if refused = s.letIn(x); refused != nil {
+		s.withdraw(x)
 	}
 	return refused
 }
--- a/internal/core/measured.go
+++ b/internal/core/measured.go
@@ -2,8 +2,11 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
 	"time"
 
+	"spokegw/internal/fleet/sites"
 	"spokegw/internal/fleet/weights"
 	"spokegw/internal/learnt"
 	"spokegw/internal/upstream"
@@ -18,7 +21,9 @@
 	sums    map[policy.EndpointID]*weights.Sums
 	met     [metKeys]uint32 // keys that endpoints have met, by a hash of both
 	factors map[weights.ID]float64
-	inUse   bool // factors are in force
+	inUse   bool         // factors are in force
+	asked   weights.Sums // what came to the door
+	door    *sites.Door  // nil: every site is met whole, and everybody let in
 }
 
 // metKeys bounds the keys that are remembered. One that is pushed out, or that another
@@ -33,7 +38,7 @@
 
 var measuredEndings = map[policy.Result]weights.Ending{
 	policy.Served: weights.Served, policy.NoAnswer: weights.Silent, policy.CalledOff: weights.Abandoned, policy.TurnedAway: weights.Declined,
-	policy.Errored: weights.Failed, policy.ConnectionLost: weights.Failed, policy.NoConnection: weights.Failed,
+	policy.Errored: weights.Failed, policy.ConnectionLost: weights.Unreached, policy.NoConnection: weights.Unreached,
 }
 
 // measure takes the end of an attempt. It allocates nothing for an endpoint and a class that
@@ -44,12 +49,10 @@
 	if m == nil || e == nil || !counts {
 		return
 	}
-	if m.of != s.settled {
-		m.of, m.classes = s.settled, m.classes[:0]
-		for _, name := range s.settled.names() {
-			m.classes = append(m.classes, weights.NewClass(s.name, name))
-		}
+	if told.Result == policy.CalledOff && c.by > a.n {
+		how = weights.Overtaken
 	}
+	m.name(s)
 	sums := m.sums[a.endpoint]
 	if sums == nil {
 		sums = &weights.Sums{ID: s.weightID(e)}
@@ -59,6 +62,105 @@
 	sums.Ended(m.classes[c.class], m.warm(q.Key, a.endpoint, how), how, told.Elapsed, time.Duration(q.Cost*float64(time.Second)))
 }
 
+// name has the classes' names at hand.
+func (m *measured) name(s *Service) {
+	if m.of == s.settled {
+		return
+	}
+	m.of, m.classes = s.settled, m.classes[:0]
+	for _, name := range s.settled.names() {
+		m.classes = append(m.classes, weights.NewClass(s.name, name))
+	}
+}
+
+// siteLost is what a client reads whose request the fleet has no room for.
+const siteLost = "a site is lost, and the others can't carry all"
+
+// letIn counts a request that its contract admits, and returns the answer to one that the
+// fleet's plan has no room for; nil: it goes on.
+func (s *Service) letIn(x *Exchange) *Answer {
+	m := s.measured
+	if m == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.name(s)
+	class := m.classes[x.request.Class]
+	m.asked.Ended(class, x.request.Owed, weights.Served, 0, time.Duration(x.request.Cost*float64(time.Second)))
+	if m.door == nil || m.door.Admits(sites.Group{Class: uint16(class), Inside: x.request.Owed}, rand.Float64()) {
+		return nil
+	}
+	return &Answer{Status: http.StatusServiceUnavailable, Reason: siteLost, RetryAfter: m.door.After(rand.Float64())}
+}
+
+// SetDoor puts in force what the fleet does about sites. nil: nothing.
+func (s *Service) SetDoor(d *sites.Door) {
+	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
+		m := s.measured
+		if m == nil {
+			return nil
+		}
+		was := m.door
+		if m.door = d; d != nil && !d.Hurt() {
+			m.door = nil
+		}
+		var turned []policy.Endpoint
+		for _, e := range s.endpoints.byID {
+			if e.Readiness == policy.Ready && s.meetsBy(was, e) != s.meetsBy(m.door, e) {
+				turned = append(turned, e.Endpoint)
+			}
+		}
+		if len(turned) > 0 {
+			return s.tellEndpoints(b, now, turned, false)
+		}
+		if m.inUse {
+			s.resize(b, now)
+		}
+		return nil
+	})
+}
+
+// meetsBy reports whether first attempts go to an endpoint by the fleet's plan.
+func (s *Service) meetsBy(d *sites.Door, e *endpoint) bool {
+	return d == nil || d.Meets(e.entry.Zone, uint64(s.weightID(e)))
+}
+
+// away changes those of a list that are not met by the fleet's plan: they get nothing new, as
+// if they were draining.
+func (s *Service) away(list []policy.Endpoint) {
+	if s.measured == nil || s.measured.door == nil {
+		return
+	}
+	for i := range list {
+		e := s.endpoints.byID[list[i].ID]
+		if e != nil && list[i].Readiness == policy.Ready && !s.meetsBy(s.measured.door, e) {
+			list[i].Readiness = policy.Draining
+		}
+	}
+}
+
+// warmth is the part of its capacity that an endpoint is sure to have, as the module has it.
+func (s *Service) warmth(e *endpoint) float64 {
+	cold, least, age := s.settled.policy.ColdTime, s.settled.policy.StartCapacity, s.now()-e.Started
+	if e.Started <= 0 || age >= cold {
+		return 1
+	}
+	return least + (1-least)*max(0, age.Seconds()/cold.Seconds())
+}
+
+// Door names the sums of what came to the service's door, and tells what a request of each
+// class is worth.
+func (s *Service) Door() (weights.ID, map[weights.Class]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	worth := map[weights.Class]float64{}
+	for _, p := range s.settled.classes {
+		worth[weights.NewClass(s.name, p.name)] = p.rules.Worth
+	}
+	return weights.DoorID(s.name), worth
+}
+
 // warm reports whether an endpoint had met a key, and notes that it has now.
 func (m *measured) warm(key string, endpoint policy.EndpointID, how weights.Ending) bool {
 	if key == "" || how != weights.Served {
@@ -93,6 +195,9 @@
 		all = append(all, *sums)
 		*sums = weights.Sums{ID: sums.ID}
 	}
+	m.asked.ID = weights.DoorID(s.name)
+	all = append(all, m.asked)
+	m.asked = weights.Sums{}
 	return all
 }
 
@@ -103,8 +208,8 @@
 	h := fnv.New32a()
 	h.Write([]byte(s.name))
 	for _, e := range s.endpoints.byID {
-		warm := e.Readiness == policy.Ready && (e.Started <= 0 || s.now()-e.Started >= s.settled.policy.ColdTime)
-		all = append(all, weights.Endpoint{ID: s.weightID(e), Kind: h.Sum32() + uint32(e.Kind), Nominal: e.Nominal, Warm: warm})
+		ready := e.Readiness == policy.Ready
+		all = append(all, weights.Endpoint{ID: s.weightID(e), Kind: h.Sum32() + uint32(e.Kind), Nominal: e.Nominal, Site: e.entry.Zone, Ready: ready, Warmth: s.warmth(e)})
 	}
 	return all
 }
@@ -142,6 +247,9 @@
 		if !known {
 			factor = 1
 		}
+		if m.door != nil {
+			factor *= m.door.Factor(e.entry.Zone)
+		}
 		if e.Nominal <= 0 { // it is not told
 			return factor, true
 		}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -124,6 +124,7 @@
 	open     int     // attempts that are out
 	first    attempt // the most that most need, in one piece with the call
 	room     [1]*attempt
+	by       int    // the number of the attempt that answered
 	slow     bool   // the latest attempt timed out
 	keyed    bool   // the request has a key
 	key      uint64 // hash of it
@@ -399,7 +400,7 @@
 		if c.over {
 			return nil
 		}
-		wanted, c.over = true, true
+		wanted, c.over, c.by = true, true, a.n
 		a.result = long
 		c.answer <- a.answer()
 		return b.StreamStarted(now, c.id, a.n)
@@ -436,7 +437,7 @@
 func (s *Service) attemptEnded(a *attempt, result upstream.Answer) {
 	c := a.call
 	if result.Result == policy.Served && !c.over {
-		c.over = true
+		c.over, c.by = true, a.n
 		a.result = result
 		c.answer <- a.answer()
 	} else {
@@ -479,6 +480,7 @@
 
 // tellEndpoints tells the module of a list, or changes, with the sizes that are in force.
 func (s *Service) tellEndpoints(b *policy.Balancer, now time.Duration, told []policy.Endpoint, full bool) []policy.Action {
+	s.away(told)
 	actions := b.Endpoints(now, told, full)
 	if s.measured != nil && s.measured.inUse {
 		s.resize(b, now)
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -4,9 +4,12 @@
 package council
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"spokegw/internal/fleet/duty"
+	"spokegw/internal/fleet/sites"
 	"spokegw/internal/fleet/weights"
 )
 
@@ -30,24 +33,82 @@
 	Seen() []weights.Sums
 	// Endpoints are those of the list.
 	Endpoints() []weights.Endpoint
+	// Doors name the sums of what was asked for, and what a request of each class is worth.
+	Doors() (map[weights.ID]bool, map[weights.Class]float64)
 }
 
 // Node is one gateway.
 type Node struct {
+	name    string
+	planner *planner // the latest; nil: there was none
 	duty    *duty.Node
 	weights *weights.Node
 	sight   Sight
 	next    time.Duration // when weights are next
+	sites   *Sites        // nil: there are none
+	door    *sites.Door   // nil: there are none
+	changes []sites.Change
+}
+
+// mostChanges bounds what is kept until it is told.
+const mostChanges = 64
+
+func (n *Node) changed(c sites.Change) {
+	if len(n.changes) < mostChanges {
+		n.changes = append(n.changes, c)
+	}
+}
+
+// Changes are those of sites' states that this gateway, which holds the duty, found since the
+// last call.
+func (n *Node) Changes() []sites.Change {
+	all := n.changes
+	n.changes = nil
+	return all
+}
+
+func sortedNames(names []string) []string {
+	slices.Sort(names)
+	return names
 }
 
 // NewNode makes a gateway that has just started, one of the plan. incarnation is to be drawn
-// at random, and below 2^32.
-func NewNode(now time.Duration, set duty.Settings, name string, incarnation uint64, plan []string, sight Sight) *Node {
-	return &Node{duty: duty.NewNode(now, set, name, incarnation, plan), weights: weights.NewNode(name, set.Lease), sight: sight, next: now}
+// at random, and below 2^32. of are the fleet's sites; nil: it has none.
+func NewNode(now time.Duration, set duty.Settings, name string, incarnation uint64, plan []string, sight Sight, of *Sites) *Node {
+	n := &Node{name: name, duty: duty.NewNode(now, set, name, incarnation, plan), sight: sight, next: now, sites: of}
+	if of == nil {
+		n.weights = weights.NewNode(name, set.Lease, nil)
+		return n
+	}
+	n.weights = weights.NewNode(name, set.Lease, n.newPlanner)
+	n.door = sites.NewDoor(name, of.Home[name], len(plan))
+	return n
 }
 
-// SetPlan takes the names of other gateways.
-func (n *Node) SetPlan(plan []string) { n.duty.SetPlan(plan) }
+// SetPlan takes the names of other gateways, and their sites. Whether there are sites at all
+// is of the start.
+func (n *Node) SetPlan(plan []string, of *Sites) {
+	n.duty.SetPlan(plan)
+	if n.sites == nil || of == nil {
+		return
+	}
+	n.sites = of
+	n.door.SetHome(of.Home[n.name], len(plan))
+	if n.planner != nil {
+		n.planner.SetHome(of.Home)
+	}
+}
+
+// Door is what this gateway does about sites from now on. It is not changed; nil: there are
+// no sites.
+func (n *Node) Door(now time.Duration) *sites.Door {
+	if n.door == nil {
+		return nil
+	}
+	plan, _ := sites.Parse(n.weights.Plan(now)) // what can't be meant is none
+	n.door.Step(now, plan)
+	return n.door.Clone()
+}
 
 // standing is where the duty stands.
 func (n *Node) standing(now time.Duration) weights.Duty {
@@ -108,12 +169,27 @@
 	Holder string // of the duty; "": nobody, as far as is known
 	Holds  bool   // this one does
 	weights.Status
+	Sites []SiteStatus // by name; none: there are no sites
+}
+
+// SiteStatus is where a site stands by the plan in force here.
+type SiteStatus struct {
+	Name  string
+	State sites.State
+	Part  float64 // of its endpoints that this gateway meets
 }
 
 // Status tells where this gateway stands.
 func (n *Node) Status(now time.Duration) Status {
 	d := n.standing(now)
-	return Status{Holder: d.Holder, Holds: d.Holds > 0, Status: n.weights.Status(now)}
+	s := Status{Holder: d.Holder, Holds: d.Holds > 0, Status: n.weights.Status(now)}
+	if n.sites != nil {
+		for _, name := range slices.Sorted(maps.Keys(n.sites.Near)) {
+			state, part := n.door.Site(name)
+			s.Sites = append(s.Sites, SiteStatus{name, state, part})
+		}
+	}
+	return s
 }
 
 // Estimates are what endpoints are taken to do, while this gateway holds the duty.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,7 @@
 	"spokegw/internal/fleet/message"
 	"spokegw/internal/fleet/quota"
 	"spokegw/internal/fleet/rank"
+	"spokegw/internal/fleet/sites"
 	"spokegw/internal/fleet/weights"
 )
 
@@ -79,6 +80,8 @@
 	// SetFactors puts factors of the list's weights in force; what is not there has 1. nil:
 	// there are none, and each process goes by its own sight.
 	SetFactors(map[weights.ID]float64)
+	// SetDoor puts in force what is done about sites, until the next call. nil: nothing.
+	SetDoor(*sites.Door)
 }
 
 // Config is what a fleet is made of.
@@ -89,7 +92,8 @@
 	Gateways  []quota.Gateway
 	Addresses map[string]string // of gateways by name, that they are reached at from here
 	Contracts []Contract
-	Pool      Pool // nil: the fleet decides on no weights
+	Pool      Pool           // nil: the fleet decides on no weights
+	Sites     *council.Sites // nil: nor on sites, which it does with weights alone
 	quota.Settings
 }
 
@@ -238,10 +242,10 @@
 	return addr, known
 }
 
-// Replace takes other gateways, parts and addresses, among them this one's. What was given
+// Replace takes other gateways, parts, addresses and sites, among them this one's. What was given
 // under those before is counted to its end. Parts that grow may be used at once: those that
 // become less are to be in force everywhere before.
-func (f *Fleet) Replace(gateways []quota.Gateway, addresses map[string]string) error {
+func (f *Fleet) Replace(gateways []quota.Gateway, addresses map[string]string, of *council.Sites) error {
 	next := &plan{gateways, addresses}
 	part, known := next.part(f.config.Name)
 	if !known || len(gateways) > quota.MaxGateways {
@@ -251,7 +255,7 @@
 	for i := range f.shards {
 		f.replaceShard(&f.shards[i], gateways)
 	}
-	f.replaceTable(gateways)
+	f.replaceTable(gateways, of)
 	f.members.Lock()
 	for name := range f.up {
 		if _, known := addresses[name]; !known {
@@ -307,6 +311,7 @@
 func (f *Fleet) release() {
 	if f.config.Pool != nil {
 		f.config.Pool.SetFactors(nil)
+		f.config.Pool.SetDoor(nil)
 	}
 	for i := range f.shards {
 		s := &f.shards[i]
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -27,12 +27,13 @@
 	order order
 	was   council.Status // when it was last told
 	inUse bool           // factors are in force
+	hurt  bool           // a site is not met whole
 }
 
 func newTable(c *Config, incarnation uint64) *table {
 	t := &table{mu: rank.Mutex{Rank: rankCouncil, Name: "council"}, queue: make(chan message.Message, councilQueue)}
 	if c.Pool != nil {
-		t.node = council.NewNode(0, duty.Settings{Lease: c.Lease, Drift: c.Drift}, c.Name, incarnation, names(c.Gateways), c.Pool)
+		t.node = council.NewNode(0, duty.Settings{Lease: c.Lease, Drift: c.Drift}, c.Name, incarnation, names(c.Gateways), c.Pool, c.Sites)
 	}
 	return t
 }
@@ -44,11 +45,11 @@
 	return all
 }
 
-func (f *Fleet) replaceTable(gateways []quota.Gateway) {
+func (f *Fleet) replaceTable(gateways []quota.Gateway, of *council.Sites) {
 	f.council.mu.Lock()
 	defer f.council.mu.Unlock()
 	if f.council.node != nil {
-		f.council.node.SetPlan(names(gateways))
+		f.council.node.SetPlan(names(gateways), of)
 	}
 }
 
@@ -103,6 +104,15 @@
 		f.config.Pool.SetFactors(nil)
 		t.inUse = false
 	}
+	if door := t.node.Door(now); door != nil {
+		if hurt := door.Hurt(); hurt || t.hurt {
+			f.config.Pool.SetDoor(door)
+			t.hurt = hurt
+		}
+	}
+	for _, c := range t.node.Changes() {
+		slog.Warn("fleet: site", "site", c.Site, "state", c.To.String(), "before", c.From.String())
+	}
 	if status.Holder != t.was.Holder {
 		slog.Info("fleet: duty", "holder", status.Holder, "before", t.was.Holder, "here", status.Holds)
 	}
--- a/internal/fleet/weights/estimate.go
+++ b/internal/fleet/weights/estimate.go
@@ -11,9 +11,14 @@
 	ID      ID
 	Kind    uint32  // of its hardware, at the same service
 	Nominal float64 // the list's weight
-	Warm    bool    // it has its full capacity, and takes new requests
+	Site    string  // where it stands; "": it is not told
+	Ready   bool    // it takes new requests
+	Warmth  float64 // part of its capacity that it is sure to have by now
 }
 
+// warm reports whether what is seen of it tells what it can do.
+func (e *Endpoint) warm() bool { return e.Ready && e.Warmth >= 1 }
+
 const (
 	windowServed = 8               // answers that an observation needs, or
 	windowTime   = 8 * time.Second // so long
@@ -116,6 +121,7 @@
 type Estimate struct {
 	Endpoint
 	Factor    float64 // over its nominal weight, beside the fleet's mean
+	Capacity  float64 // standard work a second; 0: nothing was seen of any
 	Deviation float64 // of the log of it
 	Windows   int     // that were looked at
 	Changes   int     // that were found
@@ -143,7 +149,7 @@
 			}
 			e.endpoints[l.ID] = k
 		}
-		if !l.Warm { // what is seen of a cold one tells nothing of it
+		if !l.warm() { // what is seen of a cold one tells nothing of it
 			k.reset(now)
 		}
 		k.Endpoint = l
@@ -182,12 +188,15 @@
 	return math.Exp(m.value)
 }
 
+// Standard is the same by name.
+func (e *Estimator) Standard(class Class, warm bool) float64 { return e.standard(key{class, warm}) }
+
 // Take takes what a gateway saw. Endpoints that are not in the list are left out.
 func (e *Estimator) Take(gateway string, seen []Sums) {
 	for i := range seen {
 		s := &seen[i]
 		k := e.endpoints[s.ID]
-		if k == nil || !k.Warm {
+		if k == nil || !k.warm() {
 			continue
 		}
 		part := k.from[gateway]
@@ -232,7 +241,7 @@
 		if span <= 0 || served+k.declined < windowServed && now-k.since < windowTime {
 			continue
 		}
-		if k.Warm && (served > 0 || k.lost > 0) {
+		if k.warm() && (served > 0 || k.lost > 0) {
 			e.observe(k, span, served)
 		}
 		k.good, k.bad = successPrior+(k.good-successPrior)*successKeeps, k.bad*successKeeps
@@ -547,9 +556,9 @@
 			variance *= 1 - part
 		}
 		at += math.Log(k.good / (k.good + k.bad))
-		x := Estimate{Endpoint: k.Endpoint, Factor: math.Exp(at), Deviation: math.Sqrt(variance), Windows: k.windows, Changes: k.changes}
+		x := Estimate{Endpoint: k.Endpoint, Factor: math.Exp(at), Capacity: indicator(weight > 0) * math.Exp(usual+at) * k.Nominal, Deviation: math.Sqrt(variance), Windows: k.windows, Changes: k.changes}
 		out = append(out, x)
-		if k.Warm {
+		if k.warm() {
 			sum, nominal = sum+k.Nominal*x.Factor, nominal+k.Nominal
 		}
 	}
--- a/internal/fleet/weights/node.go
+++ b/internal/fleet/weights/node.go
@@ -29,6 +29,15 @@
 	Incarnation uint64 // of this gateway
 }
 
+// Planner makes a plan of what all gateways see, beside the weights. It is the holder's.
+type Planner interface {
+	// Take takes what a gateway saw; standard is a class's factor from hinted to standard
+	// work.
+	Take(gateway string, seen []Sums, standard func(Class, bool) float64)
+	// Plan is the next plan, each period; capacities are in standard work a second.
+	Plan(now time.Duration, all []Estimate) []byte
+}
+
 // Node is a gateway's part in the fleet's weights.
 type Node struct {
 	name  string
@@ -36,9 +45,11 @@
 	meter *Meter
 	copy  *Copy
 	sent  lease.Sent
+	plans func(now time.Duration, before []byte) Planner // nil: there are none
 
 	// While it holds the duty:
 	term      uint64
+	planner   Planner // nil: there is none
 	estimator *Estimator
 	assigner  *Assigner
 	table     Table
@@ -46,9 +57,10 @@
 	gateways  map[string]*told
 }
 
-// NewNode makes that of a gateway that has just started.
-func NewNode(name string, lease time.Duration) *Node {
-	return &Node{name: name, lease: lease, meter: NewMeter(), copy: NewCopy()}
+// NewNode makes that of a gateway that has just started. plans makes the planner of one that
+// gets the duty, which goes on from the plan before; nil: there is no plan.
+func NewNode(name string, lease time.Duration, plans func(now time.Duration, before []byte) Planner) *Node {
+	return &Node{name: name, lease: lease, plans: plans, meter: NewMeter(), copy: NewCopy()}
 }
 
 // Tick is to be called each period: it takes what was seen since, and the list. It returns
@@ -73,18 +85,25 @@
 // goes on from what is in force here.
 func (n *Node) hold(now time.Duration, list []Endpoint, d Duty) {
 	if d.Holds == 0 {
-		n.term, n.estimator, n.assigner, n.gateways, n.parts = 0, nil, nil, nil, nil
+		n.term, n.planner, n.estimator, n.assigner, n.gateways, n.parts = 0, nil, nil, nil, nil, nil
 		return
 	}
 	if d.Holds != n.term {
 		n.term, n.estimator, n.assigner, n.gateways = d.Holds, NewEstimator(), NewAssigner(d.Holds, n.copy.now), map[string]*told{}
+		if n.plans != nil {
+			n.planner = n.plans(now, n.copy.whole.Plan)
+		}
 	}
 	n.estimator.SetEndpoints(now, list, func(id ID) (float64, bool) {
 		at, known := n.copy.now[id]
 		return math.Exp(at), known
 	})
 	n.estimator.Window(now)
-	if t := n.assigner.Step(n.estimator.Estimates()); t.Number != n.table.Number || n.parts == nil {
+	all, plan := n.estimator.Estimates(), []byte(nil)
+	if n.planner != nil {
+		plan = n.planner.Plan(now, all)
+	}
+	if t := n.assigner.Step(all, plan); t.Number != n.table.Number || n.parts == nil {
 		n.table, n.parts = t, t.pack()
 	}
 }
@@ -114,6 +133,9 @@
 	}
 	if g.take(now, &r) {
 		n.estimator.Take(r.From, seen)
+		if n.planner != nil {
+			n.planner.Take(r.From, seen, n.estimator.Standard)
+		}
 	}
 	return n.answer(r), true
 }
@@ -162,6 +184,9 @@
 	return n.copy.Factors(now, staleLeases*n.lease)
 }
 
+// Plan is that in force; nil: none that is fresh.
+func (n *Node) Plan(now time.Duration) []byte { return n.copy.Plan(now, staleLeases*n.lease) }
+
 // Status is where a gateway stands.
 type Status struct {
 	Table     Number
--- a/internal/fleet/weights/pack.go
+++ b/internal/fleet/weights/pack.go
@@ -7,7 +7,7 @@
 )
 
 // Sums are packed as the ID in eight bytes, then unsigned variable-length numbers: lost,
-// silent, errors, declined, the number of cells, and of each the class and whether it is
+// silent, errors, declined, unreached, overtaken, the number of cells, and of each the class and whether it is
 // warm, served, time, work, the number of buckets of ratios that are not empty, and of each
 // the place and how many.
 
@@ -19,7 +19,7 @@
 
 func appendSums(b []byte, s *Sums) []byte {
 	b = binary.BigEndian.AppendUint64(b, uint64(s.ID))
-	for _, x := range [...]uint64{s.Lost, s.Silent, s.Errors, s.Declined, uint64(len(s.Cells))} {
+	for _, x := range [...]uint64{s.Lost, s.Silent, s.Errors, s.Declined, s.Unreached, s.Overtaken, uint64(len(s.Cells))} {
 		b = binary.AppendUvarint(b, min(x, mostSeen))
 	}
 	for _, c := range s.Cells {
@@ -69,7 +69,7 @@
 		}
 		s := Sums{ID: ID(binary.BigEndian.Uint64(b))}
 		b = b[8:]
-		s.Lost, s.Silent, s.Errors, s.Declined = next(), next(), next(), next()
+		s.Lost, s.Silent, s.Errors, s.Declined, s.Unreached, s.Overtaken = next(), next(), next(), next(), next(), next()
 		n := next()
 		if n > MaxCells {
 			return nil, errPacked
--- a/internal/fleet/weights/table.go
+++ b/internal/fleet/weights/table.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"maps"
@@ -20,13 +21,22 @@
 
 	partEntries = 64 // of a table's part
 	entrySize   = 10 // bytes
+	maxPlan     = 4096
+	planPart    = partEntries * entrySize
 )
 
-// Table is what all members use, by endpoint: factors in thousandths. What is not in it has
-// 1,000.
+// A part begins with what it has.
+const (
+	ofFactors = iota
+	ofPlan
+)
+
+// Table is what all members use: factors in thousandths by endpoint, 1,000 for what is not in
+// it; and a plan, which is bytes here.
 type Table struct {
 	Number
 	Factors map[ID]uint16
+	Plan    []byte
 }
 
 // Assigner moves a table towards what is estimated. It is the holder's.
@@ -40,8 +50,9 @@
 	return &Assigner{table: Table{Number: Number{Term: term}}, logs: maps.Clone(logs)}
 }
 
-// Step takes estimates and returns the next table, or the one before where nothing moves.
-func (a *Assigner) Step(all []Estimate) Table {
+// Step takes estimates and a plan, and returns the next table, or the one before where
+// nothing moves.
+func (a *Assigner) Step(all []Estimate, plan []byte) Table {
 	logs := make(map[ID]float64, len(all))
 	sum, nominal := 0.0, 0.0
 	for _, e := range all {
@@ -51,7 +62,7 @@
 			at += math.Max(-stepPart, math.Min(off, stepPart))
 		}
 		logs[e.ID] = at
-		if e.Warm {
+		if e.warm() {
 			sum, nominal = sum+e.Nominal*math.Exp(at), nominal+e.Nominal
 		}
 	}
@@ -71,24 +82,12 @@
 		}
 	}
 	a.logs = logs
-	if a.table.N == 0 || !sameFactors(factors, a.table.Factors) {
-		a.table = Table{Number{a.table.Term, a.table.N + 1}, factors}
+	if a.table.N == 0 || !maps.Equal(factors, a.table.Factors) || !bytes.Equal(plan, a.table.Plan) {
+		a.table = Table{Number{a.table.Term, a.table.N + 1}, factors, plan}
 	}
 	return a.table
 }
 
-func sameFactors(a, b map[ID]uint16) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id, f := range a {
-		if o, known := b[id]; !known || o != f {
-			return false
-		}
-	}
-	return true
-}
-
 // pack makes the parts of a table, at least one.
 func (t Table) pack() (parts [][]byte) {
 	ids := make([]ID, 0, len(t.Factors))
@@ -96,24 +95,34 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	for {
-		var b []byte
+	for len(ids) > 0 || len(parts) == 0 {
+		b := []byte{ofFactors}
 		for _, id := range ids[:min(len(ids), partEntries)] {
 			b = binary.BigEndian.AppendUint64(b, uint64(id))
 			b = binary.BigEndian.AppendUint16(b, t.Factors[id])
 		}
 		parts = append(parts, b)
-		if ids = ids[min(len(ids), partEntries):]; len(ids) == 0 {
-			return parts
-		}
+		ids = ids[min(len(ids), partEntries):]
+	}
+	for plan := t.Plan[:min(len(t.Plan), maxPlan)]; len(plan) > 0; plan = plan[min(len(plan), planPart):] {
+		parts = append(parts, append([]byte{ofPlan}, plan[:min(len(plan), planPart)]...))
 	}
+	return parts
 }
 
 var errTable = errors.New("weights: a part of a table that can't be meant")
 
-// unpackPart reads a part of a table.
-func unpackPart(b []byte, to map[ID]uint16) error {
-	if len(b)%entrySize != 0 || len(b) > partEntries*entrySize {
+// take reads a part of a table.
+func (t *Table) take(b []byte) error {
+	if len(b) == 0 || len(b) > 1+planPart || b[0] > ofPlan {
+		return errTable
+	}
+	what, b := b[0], b[1:]
+	if what == ofPlan {
+		t.Plan = append(t.Plan, b...)
+		return nil
+	}
+	if len(b)%entrySize != 0 {
 		return errTable
 	}
 	for ; len(b) > 0; b = b[entrySize:] {
@@ -121,13 +130,13 @@
 		if f < leastFactor*1000 || f > mostFactor*1000 {
 			return errTable
 		}
-		to[ID(binary.BigEndian.Uint64(b))] = f
+		t.Factors[ID(binary.BigEndian.Uint64(b))] = f
 	}
 	return nil
 }
 
 // mostTableParts is how many parts a table has at most.
-const mostTableParts = MaxEndpoints / partEntries
+const mostTableParts = MaxEndpoints/partEntries + maxPlan/planPart + 1
 
 // Answer is what the holder of the duty answers a part of a report.
 type Answer struct {
@@ -184,7 +193,7 @@
 		return errTable
 	}
 	if a.Index >= 0 && c.has&(1<<a.Index) == 0 {
-		if err := unpackPart(a.Entries, map[ID]uint16{}); err != nil {
+		if err := (&Table{Factors: map[ID]uint16{}}).take(a.Entries); err != nil {
 			return err
 		}
 		c.parts[a.Index] = a.Entries
@@ -194,15 +203,23 @@
 		return nil
 	}
 	if c.whole.Number != c.number {
-		c.whole = Table{c.number, map[ID]uint16{}}
+		c.whole = Table{Number: c.number, Factors: map[ID]uint16{}}
 		for _, p := range c.parts {
-			unpackPart(p, c.whole.Factors) // as it was checked
+			c.whole.take(p) // as it was checked
 		}
 	}
 	c.fresh, c.got = max(c.fresh, sent), true
 	return nil
 }
 
+// Plan is the table's; nil where the table is older than stale.
+func (c *Copy) Plan(now, stale time.Duration) []byte {
+	if now-c.fresh > stale {
+		return nil
+	}
+	return c.whole.Plan
+}
+
 // Factors are those to be in force, by endpoint; what is not there has 1. They move towards
 // the table in steps, and back to the list's own weights once the table is older than stale.
 // changed reports whether they are other than before.
--- a/internal/fleet/weights/weights.go
+++ b/internal/fleet/weights/weights.go
@@ -33,6 +33,10 @@
 // measured as one.
 type Class uint16
 
+// DoorID names what was asked for at a service's door, as sums: cells' Served and Work are
+// what came, and Warm what of it was owed by contract.
+func DoorID(service string) ID { return NewID(service, "", -1) }
+
 // NewClass is a class's.
 func NewClass(service, class string) Class {
 	h := fnv.New32a()
@@ -77,12 +81,14 @@
 
 // Sums are what was seen of one endpoint. They add up.
 type Sums struct {
-	ID       ID
-	Cells    []Cell
-	Lost     uint64 // time of attempts that had no answer, in microseconds: they may have run
-	Silent   uint64 // those that were waited for to the end
-	Errors   uint64 // other attempts that failed: no throughput, and no time
-	Declined uint64
+	ID        ID
+	Cells     []Cell
+	Lost      uint64 // time of attempts that had no answer, in microseconds: they may have run
+	Silent    uint64 // those that were waited for to the end
+	Errors    uint64 // other attempts that failed: no throughput, and no time
+	Declined  uint64
+	Unreached uint64 // of the errors, those with no connection, or whose connection was lost
+	Overtaken uint64 // those that a later attempt was sooner than: they may be silent
 }
 
 func (s *Sums) empty() bool {
@@ -112,7 +118,8 @@
 			to.Ratios[i] += n
 		}
 	}
-	s.Lost, s.Silent, s.Errors, s.Declined = s.Lost+o.Lost, s.Silent+o.Silent, s.Errors+o.Errors, s.Declined+o.Declined
+	s.Lost, s.Silent, s.Errors, s.Declined, s.Unreached = s.Lost+o.Lost, s.Silent+o.Silent, s.Errors+o.Errors, s.Declined+o.Declined, s.Unreached+o.Unreached
+	s.Overtaken += o.Overtaken
 }
 
 // Ending is how an attempt ended, as far as it tells of the endpoint's throughput.
@@ -121,8 +128,10 @@
 const (
 	Served    Ending = iota
 	Silent           // no answer in time
-	Abandoned        // it was not waited for: another attempt was sooner, or the client has left
+	Abandoned        // it was not waited for: an earlier attempt was sooner, or the client has left
+	Overtaken        // a later attempt was sooner
 	Failed
+	Unreached // no connection came up, or it was lost
 	Declined
 )
 
@@ -141,13 +150,19 @@
 		c.Time += uint64(max(took, 0) / time.Microsecond)
 		c.Work += uint64(max(work/time.Microsecond, 1))
 		c.Ratios.count(took, work)
-	case Silent, Abandoned:
-		if how == Silent {
+	case Silent, Abandoned, Overtaken:
+		switch how {
+		case Silent:
 			s.Silent++
+		case Overtaken:
+			s.Overtaken++
 		}
 		s.Lost += uint64(max(took, 0) / time.Microsecond)
-	case Failed:
+	case Failed, Unreached:
 		s.Errors++
+		if how == Unreached {
+			s.Unreached++
+		}
 	case Declined:
 		s.Declined++
 	}
--- a/internal/fleet/weights/weights_test.go
+++ b/internal/fleet/weights/weights_test.go
@@ -47,7 +47,7 @@
 				t.Fatal("sums and an error, or too many cells")
 			}
 		}
-		unpackPart(b, map[ID]uint16{})
+		(&Table{Factors: map[ID]uint16{}}).take(b)
 	})
 }
 
@@ -118,7 +118,7 @@
 
 // table has factors of some endpoints, in some parts.
 func table(n Number, factor uint16, endpoints int) Table {
-	t := Table{n, map[ID]uint16{}}
+	t := Table{Number: n, Factors: map[ID]uint16{}}
 	for i := range endpoints {
 		t.Factors[ID(i)] = factor
 	}
@@ -188,10 +188,12 @@
 		"to a former self":   func(a *Answer, _ *Duty, _ *time.Duration) { a.ToIncarnation = 4 },
 		"to what never went": func(a *Answer, _ *Duty, _ *time.Duration) { a.Beat = 2 },
 		"late":               func(_ *Answer, _ *Duty, now *time.Duration) { *now += 3 * second },
-		"impossible factor":  func(a *Answer, _ *Duty, _ *time.Duration) { a.Entries = []byte{0, 0, 0, 0, 0, 0, 0, 0, 255, 255} },
-		"too many parts":     func(a *Answer, _ *Duty, _ *time.Duration) { a.Parts = mostTableParts + 1 },
+		"impossible factor": func(a *Answer, _ *Duty, _ *time.Duration) {
+			a.Entries = []byte{ofFactors, 0, 0, 0, 0, 0, 0, 0, 0, 255, 255}
+		},
+		"too many parts": func(a *Answer, _ *Duty, _ *time.Duration) { a.Parts = mostTableParts + 1 },
 	} {
-		n, a, d, now := NewNode("a", 2*second), good, Duty{Holder: "h", Term: 9, Incarnation: 5}, 10*second
+		n, a, d, now := NewNode("a", 2*second, nil), good, Duty{Holder: "h", Term: 9, Incarnation: 5}, 10*second
 		if out := n.Tick(now, nil, nil, d); len(out) != 1 {
 			t.Fatalf("%d messages", len(out))
 		}
@@ -214,7 +216,7 @@
 func newFed(kinds ...uint32) *fed {
 	f := &fed{Estimator: NewEstimator(), rng: rand.New(rand.NewPCG(2, 2))}
 	for i, k := range kinds {
-		f.list = append(f.list, Endpoint{ID: ID(i), Kind: k, Nominal: 1, Warm: true})
+		f.list = append(f.list, Endpoint{ID: ID(i), Kind: k, Nominal: 1, Ready: true, Warmth: 1})
 	}
 	return f
 }
@@ -329,7 +331,7 @@
 	})
 	a := NewAssigner(1, nil)
 	for range 20 {
-		for id, factor := range a.Step(wild.Estimates()).Factors {
+		for id, factor := range a.Step(wild.Estimates(), nil).Factors {
 			if factor < leastFactor*1000 || factor > mostFactor*1000 {
 				t.Fatalf("%d has a factor of %d", id, factor)
 			}
@@ -347,11 +349,11 @@
 			var all []Estimate
 			for i := range rapid.IntRange(1, 12).Draw(t, "endpoints") {
 				all = append(all, Estimate{
-					Endpoint: Endpoint{ID: ID(i), Nominal: rapid.Float64Range(0.1, 10).Draw(t, "nominal"), Warm: true},
+					Endpoint: Endpoint{ID: ID(i), Nominal: rapid.Float64Range(0.1, 10).Draw(t, "nominal"), Ready: true, Warmth: 1},
 					Factor:   rapid.Float64Range(0.01, 100).Draw(t, "factor"), Deviation: rapid.Float64Range(0.01, 1).Draw(t, "deviation"),
 				})
 			}
-			next := a.Step(all)
+			next := a.Step(all, nil)
 			if next.Less(number) {
 				t.Fatalf("%v after %v", next.Number, number)
 			}
@@ -379,9 +381,9 @@
 		}
 	})
 	a := NewAssigner(1, map[ID]float64{})
-	still := []Estimate{{Endpoint: Endpoint{ID: 1, Nominal: 1, Warm: true}, Factor: 1.2, Deviation: 0.3}, {Endpoint: Endpoint{ID: 2, Nominal: 1, Warm: true}, Factor: 0.8, Deviation: 0.3}}
+	still := []Estimate{{Endpoint: Endpoint{ID: 1, Nominal: 1, Ready: true, Warmth: 1}, Factor: 1.2, Deviation: 0.3}, {Endpoint: Endpoint{ID: 2, Nominal: 1, Ready: true, Warmth: 1}, Factor: 0.8, Deviation: 0.3}}
 	for range 5 {
-		if x := a.Step(still); x.N != 1 || len(x.Factors) > 0 {
+		if x := a.Step(still, nil); x.N != 1 || len(x.Factors) > 0 {
 			t.Fatalf("%+v within the noise", x)
 		}
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,8 @@
 	fleetAge     = prometheus.NewDesc("spokegw_fleet_weights_age_seconds", "Age of the fleet's weights in force here; under 0: there are none.", nil, nil)
 	fleetWeights = prometheus.NewDesc("spokegw_fleet_weights_endpoints", "Endpoints that have another weight than the list gives them.", nil, nil)
 	fleetChanges = prometheus.NewDesc("spokegw_fleet_weights_changes_total", "Changes found in what endpoints can do, by the holder of the duty.", nil, nil)
+	fleetSite    = prometheus.NewDesc("spokegw_fleet_site_state", "Where a site stands by the fleet's plan: 0 whole, 1 doubted, 2 lost, 3 returning.", []string{"site"}, nil)
+	fleetMet     = prometheus.NewDesc("spokegw_fleet_site_met", "Part of a site's endpoints that this gateway meets.", []string{"site"}, nil)
 	fleetLost    = prometheus.NewDesc("spokegw_fleet_messages_unused_total", "Messages of the fleet that were not used, by reason.", []string{"reason"}, nil)
 	reloadErrors = prometheus.NewDesc("spokegw_config_reload_errors_total", "Files turned down at SIGHUP.", nil, nil)
 )
@@ -62,6 +64,14 @@
 	Stale       bool
 	Endpoints   int // that have another weight than the list gives them
 	Changes     int // found in what endpoints can do, by the holder
+	Sites       []Site
+}
+
+// Site is where a site stands by the fleet's plan.
+type Site struct {
+	Name  string
+	State int     // 0 whole, 1 doubted, 2 lost, 3 returning
+	Part  float64 // of its endpoints that this gateway meets
 }
 
 // Quota is where one quota stands, in fractions of it.
@@ -78,7 +88,7 @@
 }
 
 func (c *collector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetLost} {
+	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
 		to <- d
 	}
 }
@@ -120,6 +130,10 @@
 		gauge(fleetAge, w.Age.Seconds())
 		gauge(fleetWeights, float64(w.Endpoints))
 		count(fleetChanges, uint64(w.Changes))
+		for _, s := range w.Sites {
+			gauge(fleetSite, float64(s.State), s.Name)
+			gauge(fleetMet, s.Part, s.Name)
+		}
 	}
 	for _, q := range f.Quotas {
 		gauge(fleetQuota, q.Own, q.Name, "own")
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -8,8 +8,10 @@
 	"strings"
 	"time"
 
+	"spokegw/internal/fleet/council"
 	"spokegw/internal/fleet/message"
 	"spokegw/internal/fleet/quota"
+	"spokegw/internal/fleet/sites"
 )
 
 // Fleet is this gateway's place among those that decide together.
@@ -19,11 +21,19 @@
 	Partners     []Partner
 	Gateways     []FleetGateway
 	Weights      bool // endpoints are weighed by what the whole fleet measures
-	quota.Settings
+	Places       []FleetSite
+	sites.Settings
+	Quota quota.Settings
 
 	key string
 }
 
+// FleetSite is one of the zones or data centres that the fleet plans for the loss of.
+type FleetSite struct {
+	Name string   // as discovery names the zone
+	Near []string // the others, the nearest first
+}
+
 // Partner has gateways of its own in the fleet, and a part of each quota for them together.
 type Partner struct {
 	Name string
@@ -33,19 +43,24 @@
 }
 
 // FleetGateway is one gateway of the fleet.
-type FleetGateway struct{ Name, Partner, Address string }
+type FleetGateway struct{ Name, Partner, Address, Site string }
 
 func readFleet(t *table) *Fleet {
 	if t == nil {
 		return nil
 	}
 	f := &Fleet{key: t.key, Name: name(t), Listen: t.text("listen", "")}
-	f.Settings = quota.Settings{
+	f.Quota = quota.Settings{
 		Lease:  t.duration("lease", 2*time.Second, time.Millisecond, time.Hour),
 		Period: t.duration("period", 200*time.Millisecond, time.Millisecond, time.Hour),
 		Drift:  t.number("drift", 0.01, 0, 1),
 	}
 	f.Weights = get(t, "weights", "true or false", false)
+	f.Settings = sites.Settings{Utilisation: t.number("utilisation", sites.Usual.Utilisation, 0.1, 1), Floor: t.number("floor", sites.Usual.Floor, 0, 0.5)}
+	for _, s := range t.tables("site", sites.MaxSites) {
+		f.Places = append(f.Places, FleetSite{Name: name(s), Near: s.texts("near", sites.MaxSites)})
+		s.end()
+	}
 	f.Key = readFleetKey(t)
 	for _, p := range t.tables("partner", quota.MaxGateways) {
 		partner := Partner{key: p.key, Name: name(p), Part: p.number("part", 0, 0, 1)}
@@ -60,7 +75,7 @@
 	}
 	t.end()
 	t.checkAddrOrFreePort("listen", f.Listen)
-	if err := f.Settings.Check(); err != nil {
+	if err := f.Quota.Check(); err != nil {
 		t.r.fault(t.key, "%v", err)
 	}
 	f.check(t)
@@ -68,7 +83,7 @@
 }
 
 func (f *Fleet) readGateway(t *table) FleetGateway {
-	g := FleetGateway{Name: name(t), Partner: t.text("partner", ""), Address: t.text("address", "")}
+	g := FleetGateway{Name: name(t), Partner: t.text("partner", ""), Address: t.text("address", ""), Site: t.text("site", "")}
 	t.end()
 	t.checkAddr("address", g.Address)
 	if len(g.Name) > message.MaxName {
@@ -77,6 +92,12 @@
 	if slices.ContainsFunc(f.Gateways, func(o FleetGateway) bool { return o.Name == g.Name }) {
 		t.fault("name", "the gateway %q stands there twice", g.Name)
 	}
+	switch known := f.site(g.Site); {
+	case len(f.Places) > 0 && !known:
+		t.fault("site", "one of [[fleet.site]] is expected, not %.60q", g.Site)
+	case len(f.Places) == 0 && g.Site != "":
+		t.fault("site", "there is no [[fleet.site]]")
+	}
 	if !slices.ContainsFunc(f.Partners, func(p Partner) bool { return p.Name == g.Partner }) {
 		t.fault("partner", "there is no partner %.60q", g.Partner)
 	}
@@ -102,8 +123,48 @@
 	return key
 }
 
+func (f *Fleet) site(name string) bool {
+	return slices.ContainsFunc(f.Places, func(s FleetSite) bool { return s.Name == name })
+}
+
+// checkSites checks sites against one another.
+func (f *Fleet) checkSites(t *table) {
+	if len(f.Places) == 1 {
+		t.fault("site", "two sites at least are expected: there is nowhere else to go")
+	}
+	if len(f.Places) > 0 && !f.Weights {
+		t.fault("weights", "true is expected where there are sites: a plan goes by what is measured")
+	}
+	for i, s := range f.Places {
+		if slices.ContainsFunc(f.Places[:i], func(o FleetSite) bool { return o.Name == s.Name }) {
+			t.fault("site", "the site %q stands there twice", s.Name)
+		}
+		for _, near := range s.Near {
+			if near == s.Name || !f.site(near) {
+				t.fault("site", "%.60q: near are others of [[fleet.site]], not %.60q", s.Name, near)
+			}
+		}
+	}
+}
+
+// Sites are the fleet's; nil: it has none.
+func (f *Fleet) Sites() *council.Sites {
+	if len(f.Places) == 0 {
+		return nil
+	}
+	all := &council.Sites{Settings: f.Settings, Home: map[string]string{}, Near: map[string][]string{}}
+	for _, s := range f.Places {
+		all.Near[s.Name] = s.Near
+	}
+	for _, g := range f.Gateways {
+		all.Home[g.Name] = g.Site
+	}
+	return all
+}
+
 // check checks partners and gateways against one another.
 func (f *Fleet) check(t *table) {
+	f.checkSites(t)
 	sum := 0.0
 	for i, p := range f.Partners {
 		if before := sum; before <= 1+shareSlack {
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"reflect"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 	"spokegw/internal/core"
 	"spokegw/internal/fleet"
 	"spokegw/internal/fleet/quota"
+	"spokegw/internal/fleet/sites"
 	"spokegw/internal/fleet/weights"
 	"spokegw/internal/metrics"
 	"spokegw/internal/operator"
@@ -76,6 +79,24 @@
 	return all
 }
 
+// Doors name the sums of what came to services' doors, and what requests are worth there.
+func (p *pool) Doors() (map[weights.ID]bool, map[weights.Class]float64) {
+	doors, all := map[weights.ID]bool{}, map[weights.Class]float64{}
+	for _, s := range *p.services.Load() {
+		id, worth := s.Door()
+		doors[id] = true
+		maps.Copy(all, worth)
+	}
+	return doors, all
+}
+
+// SetDoor puts in force what is done about sites, at all services.
+func (p *pool) SetDoor(d *sites.Door) {
+	for _, s := range *p.services.Load() {
+		s.SetDoor(d)
+	}
+}
+
 // SetFactors puts factors in force at all services.
 func (p *pool) SetFactors(factors map[weights.ID]float64) {
 	for _, s := range *p.services.Load() {
@@ -90,14 +111,14 @@
 		return nil
 	}
 	o := s.config.Operator.Fleet
-	sh := &shared{yields: make(chan struct{}, 1), config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: o.Addresses(), Settings: o.Settings}}
+	sh := &shared{yields: make(chan struct{}, 1), config: fleet.Config{Name: o.Name, Listen: o.Listen, Key: o.Key, Gateways: o.Parts(), Addresses: o.Addresses(), Settings: o.Quota}}
 	for _, q := range s.config.Operator.Quotas() {
 		a := &account{quota: q}
 		sh.accounts = append(sh.accounts, a)
 		sh.config.Contracts = append(sh.config.Contracts, fleet.Contract{Name: q.Name(), Account: a})
 	}
 	if o.Weights {
-		sh.config.Pool = &sh.pool
+		sh.config.Pool, sh.config.Sites = &sh.pool, o.Sites()
 	}
 	s.shared = sh
 	s.useShared(s.services)
@@ -215,7 +236,7 @@
 		return fmt.Errorf("fleet: it can't be put in or taken away while the sidecar runs")
 	case now == nil:
 		return nil
-	case f.Fleet.Name != now.Name || f.Fleet.Listen != now.Listen || f.Fleet.Settings != now.Settings || f.Fleet.Weights != now.Weights || !slices.Equal(f.Fleet.Key, now.Key):
+	case f.Fleet.Name != now.Name || f.Fleet.Listen != now.Listen || f.Fleet.Quota != now.Quota || f.Fleet.Settings != now.Settings || !reflect.DeepEqual(f.Fleet.Places, now.Places) || f.Fleet.Weights != now.Weights || !slices.Equal(f.Fleet.Key, now.Key):
 		return fmt.Errorf("fleet: only its partners and gateways can be changed while the sidecar runs")
 	case !slices.Equal(f.Quotas(), s.config.Operator.Quotas()):
 		return fmt.Errorf("quota: which calls share limits with the fleet can't be changed while the sidecar runs")
@@ -230,8 +251,11 @@
 		return
 	}
 	s.shared.config.Gateways, s.shared.config.Addresses = f.Fleet.Parts(), f.Fleet.Addresses()
+	if s.shared.config.Sites != nil {
+		s.shared.config.Sites = f.Fleet.Sites()
+	}
 	if running := s.shared.fleet.Load(); running != nil {
-		if err := running.Replace(s.shared.config.Gateways, s.shared.config.Addresses); err != nil {
+		if err := running.Replace(s.shared.config.Gateways, s.shared.config.Addresses, s.shared.config.Sites); err != nil {
 			slog.Error("fleet: a plan that was checked is not taken", "error", err)
 		}
 	}
@@ -255,6 +279,9 @@
 	if s.shared.config.Pool != nil {
 		c := status.Council
 		now.Weights = &metrics.Weights{Here: c.Holds, Known: c.Holder != "", Term: c.Table.Term, Table: c.Table.N, Stale: c.Stale, Age: c.Age, Endpoints: c.Endpoints, Changes: c.Changes, Heard: c.Heard}
+		for _, s := range c.Sites {
+			now.Weights.Sites = append(now.Weights.Sites, metrics.Site{Name: s.Name, State: int(s.State), Part: s.Part})
+		}
 	}
 	return now
 }
@@ -283,6 +310,9 @@
 		fmt.Fprintf(&b, "node.fleet.duty.known:%d|g\nnode.fleet.duty.here:%d|g\nnode.fleet.duty.heard:%d|g\n", flag(w.Known), flag(w.Here), w.Heard)
 		fmt.Fprintf(&b, "node.fleet.weights.table:%d|g\nnode.fleet.weights.age:%d|g\nnode.fleet.weights.stale:%d|g\nnode.fleet.weights.endpoints:%d|g\nnode.fleet.weights.changes:%d|g\n",
 			w.Table, w.Age.Milliseconds(), flag(w.Stale), w.Endpoints, w.Changes)
+		for _, s := range w.Sites {
+			fmt.Fprintf(&b, "node.fleet.site.%s.state:%d|g\nnode.fleet.site.%s.met:%.0f|g\n", s.Name, s.State, s.Name, 1000*s.Part)
+		}
 	}
 	return b.String()
 }
