--- /dev/null
+++ b/cmd/spokegw/sites_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"spokegw/internal/lab"
+	"spokegw/internal/lab/federation"
+	"spokegw/internal/lab/links"
+)
+
+const siteLost, siteReturning = 2, 3
+
+// allSay reports whether all gateways but some have a site in a state.
+func (g *gathering) allSay(site string, state float64, except ...int) bool {
+	for i := range g.Gateways {
+		if !contains(except, i) && g.figure(i, "site."+site+".state") != state {
+			return false
+		}
+	}
+	return true
+}
+
+// Six processes in three sites. A site is lost with its gateways and endpoints, while the
+// member that holds the duty is killed too if it stands there: the others send it next to
+// nothing. It returns in steps. Then its links alone are cut, its endpoints answer to nobody
+// outside, and one gateway's bad links to another site are no loss. Nothing runs twice and
+// nothing is lost that a process which goes on had taken.
+func TestSiteLossOverProcesses(t *testing.T) {
+	e := lab.EndpointConfig{Workers: 8, Work: 10 * time.Millisecond, Body: 10}
+	g := gather(t, federation.Config{
+		Partners: []int{2, 2, 2}, Parts: []float64{0.34, 0.33, 0.33}, Weights: true, Sites: []string{"bijela", "javor", "lisina"},
+		Rate: 5000, Burst: 500, Lease: time.Second, Seed: 6,
+		Endpoints: []lab.EndpointConfig{e, e, e, e, e, e},
+	})
+	g.Demand(50)
+	g.until("all have a table", func() bool { return g.holder() >= 0 && g.allSay("javor", 0) })
+	g.becomesQuiet()
+
+	lost := []int{1, 4} // gateways and endpoints of javor
+	for _, i := range lost {
+		g.Gateways[i].Kill()
+		g.Endpoint(i).Silence()
+	}
+	g.until("javor is given up", func() bool { return g.allSay("javor", siteLost, lost...) })
+	before, from := g.Came(1)+g.Came(4), time.Now()
+	<-time.After(2 * time.Second)
+	there, all := g.Came(1)+g.Came(4)-before, g.Ran(from)
+	t.Logf("of %d requests in 2 s %d came to the lost site", all, there)
+	if there > all/10 {
+		t.Errorf("%d of %d requests came to the lost site", there, all)
+	}
+	for _, i := range lost {
+		g.Endpoint(i).Speak()
+		if err := g.Gateways[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.until("javor returns", func() bool { return g.figure(0, "site.javor.state") != siteLost })
+	g.until("javor is whole", func() bool { return g.allSay("javor", 0) })
+
+	for _, i := range lost { // cut off, with clients that still come to it
+		for j := range g.Gateways {
+			if !contains(lost, j) {
+				g.Set(i, j, true, links.Fault{Cut: true})
+			}
+		}
+	}
+	g.until("two of six are apart", func() bool { return g.figure(1, "weights.stale") == 1 && g.figure(4, "weights.stale") == 1 })
+	if !g.allSay("javor", 0, lost...) {
+		t.Error("its gateways are cut off and its endpoints serve, and javor is given up")
+	}
+	g.Heal()
+	g.until("one plan for all again", func() bool { return g.holder() >= 0 && g.allSay("javor", 0) && g.figure(1, "weights.stale") == 0 })
+	g.check()
+}
+
+// becomesQuiet waits until all gateways have the table of the one that holds the duty.
+func (g *gathering) becomesQuiet() {
+	g.until("one table", func() bool {
+		for i := range g.Gateways {
+			if g.figure(i, "weights.stale") != 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
