sidecar: a reload before a service follows its list has it begin with the new one

A reload that comes between New and the start of the services called adopt, which told the list only to a service that had started (running.go, "if r.started && ..."), and start then told what was known of the file before. Ruled out: the decision module's lists (the answer names the old endpoint on each of ten requests).

--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -237,8 +237,10 @@
 
 // adopt takes over what a definition may change in a service that runs.
 func (r *running) adopt(d operator.Service) {
-	if r.started && !d.Platform && d.Registry == "" && !slices.Equal(r.definition.Endpoints, d.Endpoints) {
-		r.service.List(entries(d.Endpoints), true)
+	if !d.Platform && d.Registry == "" && !slices.Equal(r.definition.Endpoints, d.Endpoints) {
+		if r.known = entries(d.Endpoints); r.started { // else it begins with them
+			r.service.List(r.known, true)
+		}
 	}
 	if d.Weight != r.definition.Weight {
 		for _, p := range r.parts {
