--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -121,3 +121,44 @@
 		}
 	}
 }
+
+// sited is the file with three sites.
+var sited = strings.NewReplacer(
+	`period = "200ms"`, "period = \"200ms\"\nweights = true\n[[fleet.site]]\nname = \"a\"\nnear = [\"c\"]\n[[fleet.site]]\nname = \"b\"\n[[fleet.site]]\nname = \"c\"",
+	`address = "127.0.0.1:7001"`, "address = \"127.0.0.1:7001\"\nsite = \"a\"",
+	`address = "127.0.0.1:7002"`, "address = \"127.0.0.1:7002\"\nsite = \"b\"",
+	`address = "127.0.0.1:7003"`, "address = \"127.0.0.1:7003\"\nsite = \"c\"",
+).Replace(fleetFile)
+
+func TestFleetSites(t *testing.T) {
+	f, err := Parse("operator.toml", []byte(sited))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.Fleet.Sites()
+	if s.Home["g1"] != "b" || len(s.Near) != 3 || s.Near["a"][0] != "c" || s.Utilisation != 0.9 || s.Floor != 0.05 {
+		t.Errorf("%+v", s)
+	}
+	for _, c := range []struct{ old, new, place, want string }{
+		{`site = "c"`, `site = "d"`, "fleet.gateway[2].site", `not "d"`},
+		{"\nsite = \"c\"", "", "fleet.gateway[2].site", "is expected"},
+		{"name = \"c\"", "name = \"b\"", "fleet.site", "twice"},
+		{`near = ["c"]`, `near = ["x"]`, "fleet.site", `not "x"`},
+		{`near = ["c"]`, `near = ["a"]`, "fleet.site", `not "a"`},
+		{"weights = true", "weights = false", "fleet.weights", "true is expected"},
+		{"weights = true", "weights = true\nutilisation = 1.5", "fleet.utilisation", "0.1 to 1"},
+		{"weights = true", "weights = true\nfloor = 0.9", "fleet.floor", "0 to 0.5"},
+		{"weights = true", "weights = 1", "fleet.weights", "true or false"},
+	} {
+		if !strings.Contains(sited, c.old) {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		_, err := Parse("operator.toml", []byte(strings.Replace(sited, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.place) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Parse("operator.toml", []byte(strings.Replace(fleetFile, `address = "127.0.0.1:7003"`, "address = \"127.0.0.1:7003\"\nsite = \"c\"", 1))); err == nil || !strings.Contains(err.Error(), "there is no [[fleet.site]]") {
+		t.Errorf("a site where there are none: %v", err)
+	}
+}
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -295,8 +295,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "node.fleet.up:%d|g\nnode.fleet.messages_dropped:%d|c\nnode.fleet.messages_broken:%d|c\nnode.fleet.messages_other_version:%d|c\n",
 		f.Up, f.Dropped, f.Broken, f.OtherVersion)
+	apart := strings.NewReplacer(":", "_", "|", "_") // they set a figure's value apart
 	for _, q := range f.Quotas {
-		name := strings.NewReplacer(":", "_", "|", "_").Replace(word(q.Name)) // they set a figure's value apart
+		name := apart.Replace(word(q.Name))
 		fmt.Fprintf(&b, "node.fleet.quota.%s.own:%.0f|g\nnode.fleet.quota.%s.granted:%.0f|g\nnode.fleet.quota.%s.demand:%.0f|g\n",
 			name, 1000*q.Own, name, 1000*q.Granted, name, 1000*q.Demand)
 	}
@@ -311,7 +312,8 @@
 		fmt.Fprintf(&b, "node.fleet.weights.table:%d|g\nnode.fleet.weights.age:%d|g\nnode.fleet.weights.stale:%d|g\nnode.fleet.weights.endpoints:%d|g\nnode.fleet.weights.changes:%d|g\n",
 			w.Table, w.Age.Milliseconds(), flag(w.Stale), w.Endpoints, w.Changes)
 		for _, s := range w.Sites {
-			fmt.Fprintf(&b, "node.fleet.site.%s.state:%d|g\nnode.fleet.site.%s.met:%.0f|g\n", s.Name, s.State, s.Name, 1000*s.Part)
+			name := apart.Replace(word(s.Name))
+			fmt.Fprintf(&b, "node.fleet.site.%s.state:%d|g\nnode.fleet.site.%s.met:%.0f|g\n", name, s.State, name, 1000*s.Part)
 		}
 	}
 	return b.String()
