--- a/internal/fleet/sites/door.go
+++ b/internal/fleet/sites/door.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// lookers are how many gateways go on meeting a lost site, each one endpoint of it, so
-	// that somebody sees it come back: whatever the size of the fleet.
-	lookers = 8
+	// lookers are how many gateways go on meeting a lost site, each a part of its endpoints, so
+	// that somebody sees it come back: whatever the size of the fleet. Of a small one it is a
+	// part, and two at least.
+	lookers      = 8
+	leastLookers = 2
+	lookersPart  = 0.25
+	lookAt       = 0.25 // of the endpoints
 	// lookTurn is how long those are the same.
 	lookTurn = 4 * time.Second
 	// doorRises is by which a member lets in more of what is returning, in a second.
@@ -106,7 +110,8 @@
 // looks reports whether this gateway goes on looking at an endpoint of a lost site.
 func (d *Door) looks(site string, endpoint uint64) bool {
 	h := uint64(Hash(site))
-	return spread(d.name, h, d.turn)*float64(max(d.members, 1)) < lookers && spread(endpoint, d.name, d.turn) < 0.25
+	members := float64(max(d.members, 1))
+	return spread(d.name, h, d.turn)*members < min(lookers, max(leastLookers, lookersPart*members)) && spread(endpoint, d.name, d.turn) < lookAt
 }
 
 // Factor is by which the weights of a site's endpoints are multiplied.
--- a/internal/lab/gateways/schedule.go
+++ b/internal/lab/gateways/schedule.go
@@ -12,7 +12,7 @@
 type Fault struct {
 	At time.Duration
 	Is string
-	do func(w *World)
+	Do func(w *World)
 }
 
 // Draw makes a schedule of faults for a world: demands that move, links that are cut one
@@ -82,7 +82,7 @@
 		if err := w.Run(f.At); err != nil {
 			return err
 		}
-		f.do(w)
+		f.Do(w)
 		if err := w.Run(w.Now); err != nil {
 			return err
 		}
--- a/internal/lab/hardware/hardware.go
+++ b/internal/lab/hardware/hardware.go
@@ -618,3 +618,8 @@
 	}
 	return math.Sqrt(sum / float64(len(logs)))
 }
+
+// Status is where a gateway stands.
+func (l *Lab) Status(gateway int) council.Status {
+	return l.order[gateway].node.Status(l.Clock(l.Nodes[gateway]))
+}
