--- a/cmd/spokegw/sites_test.go
+++ b/cmd/spokegw/sites_test.go
@@ -90,3 +90,66 @@
 		return true
 	})
 }
+
+// Two sites, and a gateway in a third place. Half of the links lose three in ten messages and
+// take up to 0.4 s while one site is lost and a gateway of the other is started anew; it
+// returns as all processes are killed and started at once. The one that holds the duty then
+// stands still for longer than any of them waits, and wakes with its old belief.
+func TestSiteLossOfTwo(t *testing.T) {
+	e := lab.EndpointConfig{Workers: 8, Work: 10 * time.Millisecond, Body: 10}
+	g := gather(t, federation.Config{
+		Partners: []int{2, 2, 1}, Parts: []float64{0.4, 0.4, 0.2}, Weights: true, Sites: []string{"bijela", "javor", "lisina"},
+		Rate: 2000, Burst: 200, Lease: 2 * time.Second, Seed: 8,
+		Endpoints: []lab.EndpointConfig{e, e, {Workers: 8, Work: 10 * time.Millisecond, Body: 10}, e, e},
+	})
+	g.Endpoint(2).Close() // the third place has one endpoint, which is gone: that is no site's loss
+	g.Demand(40)
+	g.until("all have a table", func() bool { return g.holder() >= 0 && g.allSay("javor", 0) })
+	g.becomesQuiet()
+	for i := range g.Gateways {
+		for j := range g.Gateways {
+			if i != j && (i+j)%2 == 0 {
+				g.Set(i, j, false, links.Fault{Drop: 0.3, Jitter: 400 * time.Millisecond})
+			}
+		}
+	}
+	lost := []int{1, 4}
+	for _, i := range lost {
+		g.Gateways[i].Kill()
+		g.Endpoint(i).Silence()
+	}
+	g.Gateways[0].Kill()
+	if err := g.Gateways[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	g.until("javor is given up, also by the one that was started anew", func() bool { return g.allSay("javor", siteLost, lost...) })
+	g.Heal()
+	for _, i := range lost {
+		g.Endpoint(i).Speak()
+	}
+	for _, w := range g.Gateways {
+		w.Kill()
+	}
+	for _, w := range g.Gateways {
+		if err := w.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.until("all are whole after they were started at once", func() bool { return g.holder() >= 0 && g.allSay("javor", 0) && g.allSay("bijela", 0) })
+	g.becomesQuiet()
+	holder := g.holder()
+	g.Gateways[holder].Pause()
+	g.until("another holds the duty", func() bool { return g.holder(holder) >= 0 })
+	<-time.After(8 * time.Second) // some leases more
+	g.Gateways[holder].GoOn()
+	g.until("the woken one does not", func() bool { return g.holder() >= 0 && g.holder() != holder })
+	g.becomesQuiet()
+	for i := range g.Gateways {
+		for _, site := range []string{"bijela", "javor", "lisina"} {
+			if state := g.figure(i, "site."+site+".state"); state >= siteLost {
+				t.Errorf("gateway %d: %s is in state %v, and all is there but one endpoint alone", i, site, state)
+			}
+		}
+	}
+	g.check()
+}
