--- /dev/null
+++ b/internal/fleet/council/council_test.go
@@ -0,0 +1,162 @@
+package council
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"spokegw/internal/fleet/duty"
+	"spokegw/internal/fleet/sites"
+	"spokegw/internal/fleet/weights"
+)
+
+// fleet are gateways that hear one another at once; their endpoints come and go.
+type fleet struct {
+	now   time.Duration
+	names []string
+	nodes []*Node
+	rng   *rand.Rand
+	list  []weights.Endpoint
+	per   int           // endpoints that a gateway meets in a period
+	spent time.Duration // by the first gateway, which holds the duty, on messages and its tables
+}
+
+var set = duty.Settings{Lease: 2 * time.Second, Drift: 0.01}
+
+func newFleet(gateways, endpoints, per int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(1, 1)), per: per}
+	of := &Sites{Settings: sites.Usual, Home: map[string]string{}, Near: map[string][]string{"a": nil, "b": nil, "c": nil}}
+	for i := range gateways {
+		f.names = append(f.names, fmt.Sprint("g", i))
+		of.Home[f.names[i]] = string(rune('a' + i%3))
+	}
+	for i := range endpoints {
+		f.list = append(f.list, f.endpoint(i))
+	}
+	for _, name := range f.names {
+		f.nodes = append(f.nodes, NewNode(0, set, name, 1+f.rng.Uint64N(1<<20), f.names, f, of))
+	}
+	return f
+}
+
+func (f *fleet) endpoint(i int) weights.Endpoint {
+	return weights.Endpoint{ID: weights.NewID("", fmt.Sprint(i, f.rng.Uint64()), 0), Kind: uint32(i % 4), Nominal: 1, Site: string(rune('a' + i%3)), Ready: true, Warmth: 1}
+}
+
+// Seen, Endpoints and Doors are every gateway's sight.
+func (f *fleet) Seen() (all []weights.Sums) {
+	door := weights.Sums{ID: weights.DoorID("")}
+	for range f.per {
+		s := weights.Sums{ID: f.list[f.rng.IntN(len(f.list))].ID}
+		for c := range 2 {
+			s.Ended(weights.Class(c), false, weights.Served, time.Duration(5+f.rng.IntN(20))*time.Millisecond, 10*time.Millisecond)
+			door.Ended(weights.Class(c), c == 0, weights.Served, 0, 10*time.Millisecond)
+		}
+		all = append(all, s)
+	}
+	return append(all, door)
+}
+
+func (f *fleet) Endpoints() []weights.Endpoint { return f.list }
+
+func (f *fleet) Doors() (map[weights.ID]bool, map[weights.Class]float64) {
+	return map[weights.ID]bool{weights.DoorID(""): true}, map[weights.Class]float64{0: 1, 1: 3}
+}
+
+// tick has all gateways report, and takes what follows.
+func (f *fleet) tick() {
+	f.now += 200 * time.Millisecond
+	for i, n := range f.nodes {
+		begin := time.Now()
+		out := n.Tick(f.now, f.names[:1])
+		if i == 0 {
+			f.spent += time.Since(begin)
+		}
+		f.deliver(out)
+		n.Factors(f.now)
+		n.Door(f.now)
+		n.Changes()
+	}
+}
+
+func (f *fleet) deliver(out []Out) {
+	for _, o := range out {
+		for i, name := range f.names {
+			if name != o.To {
+				continue
+			}
+			begin := time.Now()
+			next, _ := f.nodes[i].Take(f.now, o.Message)
+			if i == 0 {
+				f.spent += time.Since(begin)
+			}
+			f.deliver(next)
+			break
+		}
+	}
+}
+
+func held() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// In two hours of endpoints that are replaced all the time, and gateways that start anew, a
+// fleet holds no more than after the first minutes.
+func TestSoakOfCouncil(t *testing.T) {
+	f := newFleet(5, 40, 10)
+	var early uint64
+	const periods, first = 2 * 3600 * 5, 300 * 5
+	for i := range periods {
+		if i%15 == 0 { // one in three seconds
+			at := f.rng.IntN(len(f.list))
+			f.list[at] = f.endpoint(at)
+		}
+		if i%500 == 499 {
+			at := f.rng.IntN(len(f.nodes))
+			f.nodes[at] = NewNode(f.now, set, f.names[at], 1+f.rng.Uint64N(1<<20), f.names, f, f.nodes[at].sites)
+		}
+		if f.tick(); i == first {
+			early = held()
+		}
+	}
+	late := held()
+	if t.Logf("%d KB after five minutes, %d after two hours", early>>10, late>>10); late > early+early/2+1<<20 {
+		t.Errorf("%d KB are held after five minutes and %d after two hours", early>>10, late>>10)
+	}
+	if s := f.nodes[1].Status(f.now); s.Holder == "" || s.Stale {
+		t.Errorf("%+v", s)
+	}
+	runtime.KeepAlive(f)
+}
+
+// BenchmarkPeriod is a second of a whole fleet before 200 endpoints, of which each gateway
+// meets 30, with what a holder of the duty and a member hold.
+func BenchmarkPeriod(b *testing.B) {
+	for _, gateways := range []int{10, 100, 500} {
+		b.Run(fmt.Sprint(gateways), func(b *testing.B) {
+			before := held()
+			f := newFleet(gateways, 200, 30)
+			for range 50 {
+				f.tick()
+			}
+			all := held() - before
+			f.spent = 0
+			for b.Loop() {
+				for range 5 {
+					f.tick()
+				}
+			}
+			b.ReportMetric(float64(f.spent.Microseconds())/float64(b.N), "us/holder")
+			b.ReportMetric(float64((b.Elapsed()-f.spent).Microseconds())/float64(b.N)/float64(gateways), "us/member")
+			b.ReportMetric(float64(all)/float64(gateways)/1024, "KB/member")
+			f.nodes = []*Node{f.nodes[0]}
+			b.ReportMetric(float64(held()-before)/1024, "KB/holder")
+			runtime.KeepAlive(f)
+		})
+	}
+}
