lab: what a process that stood still refuses as it wakes is that process's doing

Played with each of them told: all are 503 of the one gateway that had stood still, of requests that came meanwhile, whose time was over; a slow machine has it stand still for longer. Only those without an answer were taken for a stopped process's. The last scene asks for less: the machines that become slow then can carry it.

--- a/cmd/spokegw/weights_test.go
+++ b/cmd/spokegw/weights_test.go
@@ -103,6 +103,7 @@
 	})
 	g.until("the other three have one that holds the duty", func() bool { return g.holder(0, 1) >= 2 && g.fresh(0, 1) })
 	g.Heal()
+	g.Demand(25) // the three that become slow can carry it all, so nothing has to be refused
 	for i := range 3 {
 		g.Endpoint(i).SetWork(40 * time.Millisecond) // a neighbour takes three quarters
 		g.Endpoint(i + 3).SetWork(10 * time.Millisecond)
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -489,7 +489,8 @@
 func (g *Gateway) Ask(demand float64) { g.demand.Store(int64(demand)) }
 
 // Tally is what clients had of all gateways: Failed had no answer of a process that went
-// on, Lost of one that was killed or stood still meanwhile.
+// on, Other one that is neither, Lost none or such a one of a process that was killed or stood
+// still meanwhile.
 type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost int }
 
 // Tally counts what has ended.
@@ -502,10 +503,10 @@
 				t.Served++
 			case r.Status == http.StatusTooManyRequests:
 				t.OverQuota++
-			case r.Status != 0:
-				t.Other++
 			case g.wasDown(from, from+r.Took):
 				t.Lost++
+			case r.Status != 0:
+				t.Other++
 			default:
 				t.Failed++
 			}
