council: what a stranger measured counts for nothing

A report of a name that is no gateway of the file was taken by the holder, unlike its promise: without a key whoever reaches the port could have moved weights within their bounds. TestStranger fails without it.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -40,6 +40,7 @@
 // Node is one gateway.
 type Node struct {
 	name    string
+	plan    []string // gateways
 	planner *planner // the latest; nil: there was none
 	duty    *duty.Node
 	weights *weights.Node
@@ -75,7 +76,7 @@
 // NewNode makes a gateway that has just started, one of the plan. incarnation is to be drawn
 // at random, and below 2^32. of are the fleet's sites; nil: it has none.
 func NewNode(now time.Duration, set duty.Settings, name string, incarnation uint64, plan []string, sight Sight, of *Sites) *Node {
-	n := &Node{name: name, duty: duty.NewNode(now, set, name, incarnation, plan), sight: sight, next: now, sites: of}
+	n := &Node{name: name, plan: plan, duty: duty.NewNode(now, set, name, incarnation, plan), sight: sight, next: now, sites: of}
 	if of == nil {
 		n.weights = weights.NewNode(name, set.Lease, nil)
 		return n
@@ -89,6 +90,7 @@
 // is of the start.
 func (n *Node) SetPlan(plan []string, of *Sites) {
 	n.duty.SetPlan(plan)
+	n.plan = plan
 	if n.sites == nil || of == nil {
 		return
 	}
@@ -143,6 +145,8 @@
 		}
 	case m.DutyReply != nil:
 		n.duty.Take(now, *m.DutyReply)
+	case m.Report != nil && !slices.Contains(n.plan, m.Report.From): // a stranger's measurements count for nothing
+		return nil, false
 	case m.Report != nil:
 		answers, ok := n.weights.TakeReport(now, *m.Report, n.standing(now))
 		for _, o := range answers {
--- a/internal/fleet/council/council_test.go
+++ b/internal/fleet/council/council_test.go
@@ -134,6 +134,23 @@
 	runtime.KeepAlive(f)
 }
 
+// What a stranger measured counts for nothing.
+func TestStranger(t *testing.T) {
+	f := newFleet(3, 6, 3)
+	for range 30 {
+		f.tick()
+	}
+	if s := f.nodes[0].Status(f.now); s.Heard != 3 {
+		t.Fatalf("%+v", s)
+	}
+	for _, from := range []string{"g1", "nobody"} {
+		out, meant := f.nodes[0].Take(f.now, Message{Report: &weights.Report{From: from, To: "g0", Incarnation: 1 << 40, Seq: 1}})
+		if known := from == "g1"; meant != known || (len(out) > 0) != known {
+			t.Errorf("of %s: %v, %d answers", from, meant, len(out))
+		}
+	}
+}
+
 // BenchmarkPeriod is a second of a whole fleet before 200 endpoints, of which each gateway
 // meets 30, with what a holder of the duty and a member hold.
 func BenchmarkPeriod(b *testing.B) {
