sites: groups, flows and zones that come and go stay within their bounds

Read again: refused groups were kept while they rose, so more than 64 could be in a plan, which no member would have read (Append writes one byte for their number); at 16 sites each way no flow was followed any more, as the bound held for those that were known too (Take); zones that had left kept their places. What came by gateway's site was summed up and used nowhere.

TestPlannerBounds fails without the bound of groups and without that of flows.

--- a/internal/fleet/council/plan.go
+++ b/internal/fleet/council/plan.go
@@ -55,7 +55,7 @@
 			w := float64(c.Work) / 1e6 * standard(c.Class, c.Warm && !p.doors[s.ID])
 			if p.doors[s.ID] {
 				n := math.Max(float64(c.Served), 1)
-				p.Asked(gateway, sites.Group{Class: uint16(c.Class), Inside: c.Warm}, n, w, p.worth[c.Class]*n/math.Max(w, 1e-9))
+				p.Asked(sites.Group{Class: uint16(c.Class), Inside: c.Warm}, n, w, p.worth[c.Class]*n/math.Max(w, 1e-9))
 				continue
 			}
 			served, work = served+float64(c.Served), work+w
--- a/internal/fleet/sites/plan.go
+++ b/internal/fleet/sites/plan.go
@@ -55,7 +55,6 @@
 	far   func(from, to string) float64
 	flow  map[[2]string]float64 // work a second from gateways' sites to endpoints' sites, fading
 	asked map[Group]*Demand     // in this period
-	came  map[string]float64    // work asked for at gateways, by their site
 	admit map[Group]float64
 }
 
@@ -70,7 +69,7 @@
 			}
 		}
 	}
-	p := &Planner{set: set, judge: NewJudge(now, home, states), home: home, far: far, flow: map[[2]string]float64{}, asked: map[Group]*Demand{}, came: map[string]float64{}, admit: map[Group]float64{}}
+	p := &Planner{set: set, judge: NewJudge(now, home, states), home: home, far: far, flow: map[[2]string]float64{}, asked: map[Group]*Demand{}, admit: map[Group]float64{}}
 	for _, a := range before.Admit {
 		p.admit[a.Group] = a.Part
 	}
@@ -84,13 +83,15 @@
 // answer or connection, and the work that was done.
 func (p *Planner) Take(gateway, site string, endpoint uint64, served, missed, work float64) {
 	p.judge.Take(gateway, site, endpoint, served, missed)
-	if from, known := p.home[gateway]; known && len(p.flow) < MaxSites*MaxSites {
-		p.flow[[2]string{from, site}] += work * (1 - flowKeeps)
+	from, known := p.home[gateway]
+	at := [2]string{from, site}
+	if _, flows := p.flow[at]; known && (flows || len(p.flow) < MaxSites*MaxSites) {
+		p.flow[at] += work * (1 - flowKeeps)
 	}
 }
 
-// Asked takes what came to a gateway's door of a group, in a period of a second.
-func (p *Planner) Asked(gateway string, g Group, requests, work, worth float64) {
+// Asked takes what came to some gateway's door of a group, in a period of a second.
+func (p *Planner) Asked(g Group, requests, work, worth float64) {
 	d := p.asked[g]
 	if d == nil {
 		if len(p.asked) >= MaxGroups {
@@ -102,7 +103,6 @@
 	d.Worth = (d.Worth*d.Work + worth*work) / math.Max(d.Work+work, 1e-12)
 	d.Mean += requests
 	d.Work += work
-	p.came[p.home[gateway]] += work
 }
 
 // Period makes the next plan, and tells what changed.
@@ -115,10 +115,11 @@
 	changes := p.judge.Period(now, ready, cold)
 	plan := p.plan(now, all)
 	for k := range p.flow {
-		p.flow[k] *= flowKeeps
+		if p.flow[k] *= flowKeeps; p.flow[k] < 1e-9 {
+			delete(p.flow, k)
+		}
 	}
 	clear(p.asked)
-	clear(p.came)
 	return plan, changes
 }
 
@@ -207,7 +208,7 @@
 		part = Admit(demand, room, p.set.Floor)
 	}
 	for _, d := range demand {
-		if _, known := p.admit[d.Group]; !known {
+		if _, known := p.admit[d.Group]; !known && len(p.admit) < MaxGroups { // beyond that all is let in
 			p.admit[d.Group] = 1
 		}
 	}
--- a/internal/fleet/sites/plan_test.go
+++ b/internal/fleet/sites/plan_test.go
@@ -249,8 +249,8 @@
 	var now time.Duration
 	period := func(served func(site string) bool) Plan {
 		for g := range home {
-			p.Asked(g, Group{1, false}, 10, 2.5, 1)
-			p.Asked(g, Group{2, true}, 10, 1.25, 3)
+			p.Asked(Group{1, false}, 10, 2.5, 1)
+			p.Asked(Group{2, true}, 10, 1.25, 3)
 			for i, s := range list {
 				for e := range 4 {
 					if served(s.Name) {
@@ -291,3 +291,42 @@
 		t.Errorf("a minute after: %+v", plan)
 	}
 }
+
+// Zones, groups and flows that come and go for long leave a planner within its bounds, and a
+// plan that can be read; at the most sites there are the flows are still followed.
+func TestPlannerBounds(t *testing.T) {
+	home := map[string]string{}
+	var list []Site
+	for i := range MaxSites {
+		list = append(list, Site{Name: fmt.Sprint("s", i), Ready: 4, Capacity: 1})
+		home[fmt.Sprint("g", i)] = list[i].Name
+	}
+	p := NewPlanner(0, Usual, home, func(i, j string) float64 { return 1 }, Plan{})
+	for n := range 200 {
+		for g := range home {
+			for j, s := range list {
+				if n > 5 && j == 0 { // lost, so that groups are refused
+					p.Take(g, s.Name, uint64(n%4), 0, 5, 0)
+				} else {
+					p.Take(g, s.Name, uint64(j*10+n%4), 5, 0, 1)
+				}
+			}
+		}
+		for c := range MaxGroups {
+			p.Asked(Group{Class: uint16(n*MaxGroups + c)}, 10, 10, 1)
+		}
+		plan, _ := p.Period(time.Duration(n)*time.Second, list)
+		if _, err := Parse(plan.Append(nil)); err != nil || len(p.admit) > MaxGroups || len(p.flow) > MaxSites*MaxSites {
+			t.Fatalf("%d groups, %d flows: %v", len(p.admit), len(p.flow), err)
+		}
+	}
+	if f := p.flow[[2]string{"s1", "s2"}]; f < 0.5 {
+		t.Errorf("a flow of 1 is followed as %.3f", f)
+	}
+	for n := range 3 * MaxSites {
+		p.Period(time.Duration(200+n)*time.Second, []Site{{Name: fmt.Sprint("z", n), Ready: 4, Capacity: 1}, list[1]})
+	}
+	if p.judge.sites["z47"] == nil {
+		t.Error("a zone that is new has no place among those that are gone")
+	}
+}
--- a/internal/fleet/sites/sites.go
+++ b/internal/fleet/sites/sites.go
@@ -301,6 +301,10 @@
 		if s.state != before {
 			changes = append(changes, Change{name, before, s.state})
 		}
+		if _, listed := ready[name]; !listed && s.state == Whole {
+			delete(j.sites, name) // a zone that the list no longer has
+			continue
+		}
 		for i := periods - 1; i > 0; i-- {
 			s.looks[i] = s.looks[i-1]
 		}
