policy: no second copy of long work without a hint; late answers are waited for

Two lines did it. request.go, Request: r.Left = min(r.Left, r.Upload+c.Aim) gave up what is worth nothing late at its aim; these endpoints work on after a cancel, and clients come again. request.go, overdue: silentAfter*b.expected(r) took a tenth of all requests, the longest, for ones that an endpoint is silent to: without hints what is usual is no measure of one of them.

Now an attempt may take all of the client's time, and without a hint there is a copy only after four usual times and where the endpoint answered nothing that was sent later. Requests with a hint are treated as before.

Seen to fail without each of the three conditions: TestNoSecondCopyOfLongWork, TestLateAnswersAreWaitedForWhereTheyAreWorthless.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -45,13 +45,13 @@
 // server is what this client knows of one endpoint.
 type server struct {
 	Endpoint
-	inFlight             int
-	listed, probing      bool          // probing: a probe is out
-	standing                           // of all classes
-	classes              []standing    // of each: what fails may be one class's alone
-	weight, chance, rank float64       // w in [0,1] by readiness, cold ramp and health; of one draw: w * p_i*/k_i; scratch of chooseByKey
-	load, credit, seen   float64       // requests held, as reported; part of an attempt it is due while cold; fleet.parts when that was counted
-	loadAt, kept         time.Duration // kept: until then a connection to it may rest
+	inFlight              int
+	listed, probing       bool          // probing: a probe is out
+	standing                            // of all classes
+	classes               []standing    // of each: what fails may be one class's alone
+	weight, chance, rank  float64       // w in [0,1] by readiness, cold ramp and health; of one draw: w * p_i*/k_i; scratch of chooseByKey
+	load, credit, seen    float64       // requests held, as reported; part of an attempt it is due while cold; fleet.parts when that was counted
+	loadAt, kept, through time.Duration // kept: until then a connection to it may rest; through: the latest start of what it answered
 }
 
 // standing is what the outcomes so far tell against an endpoint.
--- a/policy/request.go
+++ b/policy/request.go
@@ -51,7 +51,7 @@
 const (
 	dedupMargin = 0.15 // part of a key's window left unused: a resend has a way to go
 	overduePart = 0.7  // of the aim, after which an attempt still out counts as late
-	silentAfter = 2.0  // usual answer times of such a request after which its answer may never come
+	silentAfter = 2.0  // usual answer times of such a request after which its answer may never come; twice that without a hint
 	comeBack    = 0.5  // of the time left, after which a refused client may try again where all are refused
 	retryNeeds  = 0.8  // part of the usual answer time that has to be left for another attempt
 )
@@ -106,10 +106,6 @@
 		r.key = hashKey(r.Key)
 		r.keyShare = b.keys.add(r.key)
 	}
-	// Failure answered: under overload endpoints work for answers that come late.
-	if c := &b.set.Classes[q.Class]; c.LateWorth == 0 && c.Aim > 0 {
-		r.Left = min(r.Left, r.Upload+c.Aim)
-	}
 	if b.expected(r) > q.Left.Seconds() && b.random() > leastAdmitted || // some go, or a wrong estimate stays
 		!b.admit(r) || !b.attempt(r) {
 		b.finish(r)
@@ -185,6 +181,7 @@
 
 // overdue judges attempts still out: in a burst answers tell too late. Failure answered: an endpoint
 // fell silent, so what is far beyond its work is sent again, while those that answer do so in time.
+// Without a hint long work looks the same, but what was sent later is answered. Harm: a lost answer.
 func (b *Balancer) overdue(r *request) {
 	again := b.adm.tardy <= tardyFree && b.adm.retries >= 1
 	for i := 0; r != nil && !r.streamed && i < len(r.attempts); i++ { // what streams is on its way
@@ -192,7 +189,7 @@
 			a.late = true
 			b.adm.outcome(b.now, true, a.server.healthAt(b.now, r.Class))
 			b.fleet.observe(a.server, r.Class, b.now, a.server.lateKeeps(b.now, r.Class))
-			again = again && (b.now-a.sent).Seconds() > silentAfter*b.expected(r) &&
+			again = again && (r.Cost > 0 || a.sent >= a.server.through) && (b.now-a.sent).Seconds() > silentAfter*(2-indicator(r.Cost > 0))*b.expected(r) &&
 				(r.deadline()-b.now).Seconds() > retryNeeds*b.expected(r) && b.attempt(r)
 		}
 	}
@@ -312,6 +309,7 @@
 	c, work := &b.times[r.Class], b.work(r)
 	per := o.Elapsed.Seconds() / work
 	if !failed && per > 0 {
+		a.server.through = max(a.server.through, a.sent)
 		c.add(per, work)
 	}
 	if c.per > 0 && (!failed || o.Result == NoAnswer && per > c.per) {
