cmd/spokegw: tests of shared quotas ask for what two cores can carry

Looked into: the same test by itself on three cores has none (3 of 3); six at a time, two for each two cores, 5 of 6 failed, with answers after 3 to 6 s and then 503 from the module's door (the new Federation.Unexpected lists them by second, gateway and status). So it is the machine's processors: 1,500 requests a second through five processes under the race detector, beside other packages' tests. A fault of the program was ruled out: nothing of it shows where there is time. The quota's promises are about parts of it, so quota and demands are 120 a second for 300 (fleet_test.go); nothing that is asserted is changed, and what is lent in TestLentIsNotUsedTwice is still ten times what the endpoints allow for.

--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -95,6 +95,7 @@
 	}
 	if tally.Failed > 0 || tally.Other > tally.Asked/100 {
 		g.t.Errorf("%d of %d had no answer, %d an unexpected one", tally.Failed, tally.Asked, tally.Other)
+		g.t.Log(g.Unexpected())
 	}
 }
 
@@ -105,12 +106,12 @@
 func TestQuotaOverProcesses(t *testing.T) {
 	f := gather(t, federation.Config{
 		Partners: []int{2, 2, 1}, Parts: []float64{0.4, 0.4, 0.2},
-		Rate: 300, Burst: 30, Lease: time.Second, Seed: 1,
+		Rate: 120, Burst: 12, Lease: time.Second, Seed: 1,
 	})
 
-	f.Demand(600, 0)
+	f.Demand(240, 0)
 	f.becomes("all the demand at one", 0.9)
-	f.Demand(300)
+	f.Demand(60)
 	f.becomes("all want more than there is", 0.9)
 
 	for _, a := range []int{0, 1} { // two of one side, three of the other
@@ -118,7 +119,7 @@
 			f.Set(a, b, true, links.Fault{Cut: true})
 		}
 	}
-	f.Demand(600, 0)
+	f.Demand(240, 0)
 	f.until("what the other side lent has ended", func() bool {
 		has := f.figure(0, quotaFigure+"own") + f.figure(0, quotaFigure+"granted")
 		return has > 360 && has <= 400
@@ -135,7 +136,7 @@
 		<-time.After(700 * time.Millisecond)
 		g.GoOn()
 	}
-	f.Demand(200)
+	f.Demand(80)
 	for i := range f.Gateways {
 		for j := range f.Gateways {
 			if i != j && (i+j)%2 == 0 {
@@ -149,7 +150,7 @@
 	}
 	f.used(2 * time.Second)
 	f.Heal()
-	f.Demand(500, 0)
+	f.Demand(200, 0)
 	for _, g := range f.Gateways { // all at once
 		g.Kill()
 	}
@@ -184,11 +185,11 @@
 func TestLentIsNotUsedTwice(t *testing.T) {
 	f := gather(t, federation.Config{
 		Partners: []int{1, 1, 1}, Parts: []float64{0.2, 0.4, 0.4},
-		Rate: 300, Burst: 30, Lease: 5 * time.Second, Seed: 3,
+		Rate: 120, Burst: 12, Lease: 5 * time.Second, Seed: 3,
 	})
-	f.Demand(600, 0)
+	f.Demand(240, 0)
 	f.becomes("nearly all is lent to one", 0.9)
-	f.Demand(600, 400, 400)
+	f.Demand(240, 160, 160)
 	f.Set(0, 1, true, links.Fault{Cut: true})
 	f.Set(0, 2, true, links.Fault{Cut: true})
 	f.Gateways[1].Kill()
@@ -207,9 +208,9 @@
 func TestQuotaOddShapes(t *testing.T) {
 	f := gather(t, federation.Config{
 		Partners: []int{1, 1, 1}, Parts: []float64{0.4, 0.3, 0.3},
-		Rate: 300, Burst: 30, Lease: time.Second, Seed: 2,
+		Rate: 120, Burst: 12, Lease: time.Second, Seed: 2,
 	})
-	f.Demand(600, 0)
+	f.Demand(240, 0)
 	f.becomes("all the demand at one", 0.9)
 
 	f.Set(0, 2, true, links.Fault{Cut: true}) // the first sees the second, that one the third
@@ -234,7 +235,7 @@
 		t.Errorf("%.0f messages of another version were counted", n)
 	}
 
-	f.Demand(200) // the steward, whoever it is, sleeps through several leases with what it believed
+	f.Demand(80) // the steward, whoever it is, sleeps through several leases with what it believed
 	for _, g := range f.Gateways {
 		g.Pause()
 		<-time.After(2500 * time.Millisecond)
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -515,6 +516,25 @@
 	return t
 }
 
+// Unexpected tells what Tally counts as Other and Failed: how many by half second, gateway, status and time taken, 200 lines at most.
+func (f *Federation) Unexpected() string {
+	counts := map[string]int{}
+	for _, g := range f.Gateways {
+		for _, r := range g.load.Results() {
+			from := f.asked + r.At
+			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || g.wasDown(from, from+r.Took) {
+				continue
+			}
+			counts[fmt.Sprintf("%5.1fs %s %d %s", from.Round(500*time.Millisecond).Seconds(), g.Name, r.Status, r.Took.Round(200*time.Millisecond))]++
+		}
+	}
+	lines := slices.Sorted(maps.Keys(counts))
+	for i, l := range lines {
+		lines[i] = fmt.Sprint(l, ": ", counts[l])
+	}
+	return strings.Join(lines[:min(len(lines), 200)], "\n")
+}
+
 // Close ends everything. Processes are killed.
 func (f *Federation) Close() {
 	for _, g := range f.Gateways {
