lab: quota, weights and sites in force together, in schedules of faults

Need: the three were played over processes together, but in virtual time only apart, and only the quota's schedules were shrunk. hardware.Lab now has each gateway admit by its broker's part of a quota, by its own clock, endpoints that are replaced, and sites lost in a schedule (Lab.Draw); a checker counts what all admit, by true time, and knows nothing of leases. gateways.Shrink is of all.

--- a/internal/fleet/quota/schedule_test.go
+++ b/internal/fleet/quota/schedule_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -76,33 +74,12 @@
 	t.Logf("%d schedules, the least use afterwards %.3f", *schedules, least)
 }
 
-// shrink is the least of a schedule that breaks the sum still: faults are left out one by
-// one for as long as it does.
+// shrink is the least of a schedule that breaks the sum still.
 func shrink(seed uint64, lasts time.Duration) string {
-	left := map[int]bool{}
-	breaks := func() bool {
+	_, all := worldOf(seed, lasts)
+	return gateways.Text(all, gateways.Shrink(len(all), func(kept func(int) bool) bool {
 		w, faults := worldOf(seed, lasts)
-		kept := faults[:0]
-		for i, f := range faults {
-			if !left[i] {
-				kept = append(kept, f)
-			}
-		}
-		_, err := playSchedule(w, kept)
+		_, err := playSchedule(w, gateways.Kept(faults, kept))
 		return err != nil
-	}
-	_, faults := worldOf(seed, lasts)
-	for i := range faults {
-		left[i] = true
-		left[i] = breaks()
-	}
-	var text strings.Builder
-	n := 0
-	for i, f := range faults {
-		if !left[i] {
-			n++
-			fmt.Fprintf(&text, "%3d. %s, at %v\n", n, f.Is, f.At)
-		}
-	}
-	return text.String()
+	}))
 }
--- a/internal/lab/gateways/schedule.go
+++ b/internal/lab/gateways/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"spokegw/internal/fleet/quota"
@@ -76,6 +77,45 @@
 	return all
 }
 
+// Shrink is a least schedule of n faults that breaks something still: faults are left out, many
+// at a time and then one by one, for as long as it does. breaks plays a schedule with those that
+// are kept.
+func Shrink(n int, breaks func(kept func(fault int) bool) bool) (needed []int) {
+	for i := range n {
+		needed = append(needed, i)
+	}
+	for size := (n + 1) / 2; size > 0; size /= 2 {
+		for at := 0; at < len(needed); {
+			without := slices.Delete(slices.Clone(needed), at, min(at+size, len(needed)))
+			if breaks(func(fault int) bool { return slices.Contains(without, fault) }) {
+				needed = without
+			} else {
+				at += size
+			}
+		}
+	}
+	return needed
+}
+
+// Kept are those faults that a function tells, by number.
+func Kept(faults []Fault, kept func(fault int) bool) (some []Fault) {
+	for i, f := range faults {
+		if kept(i) {
+			some = append(some, f)
+		}
+	}
+	return some
+}
+
+// Text tells faults of a schedule by number, a line each.
+func Text(faults []Fault, which []int) string {
+	var text strings.Builder
+	for n, i := range which {
+		fmt.Fprintf(&text, "%3d. %s, at %v\n", n+1, faults[i].Is, faults[i].At)
+	}
+	return text.String()
+}
+
 // Play plays the faults of a schedule, up to the last one.
 func (w *World) Play(faults []Fault) error {
 	for _, f := range faults {
--- a/internal/lab/gateways/world.go
+++ b/internal/lab/gateways/world.go
@@ -128,6 +128,12 @@
 	return w
 }
 
+// Node is the gateway of a name.
+func (w *World) Node(name string) *Node { return w.named[name] }
+
+// Serves reports whether a gateway is up and does not stand still.
+func (n *Node) Serves() bool { return n.Up && !n.paused }
+
 // Part is what a gateway owns.
 func (w *World) Part(n *Node) quota.Part { return w.plan[n.n].Part }
 
@@ -295,7 +301,7 @@
 // Used is what of the demand is within limits.
 func (w *World) Used() (sum quota.Part) {
 	for _, n := range w.Nodes {
-		if n.Up && !n.paused {
+		if n.Serves() {
 			sum += min(n.Demand, w.Limit(n))
 		}
 	}
@@ -334,7 +340,7 @@
 		}
 		want := quota.Part(0)
 		for _, n := range w.Nodes {
-			if n.Up && !n.paused {
+			if n.Serves() {
 				want += n.Demand
 			}
 		}
--- a/internal/lab/hardware/hardware.go
+++ b/internal/lab/hardware/hardware.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"spokegw/internal/broker"
 	"spokegw/internal/fleet/council"
 	"spokegw/internal/fleet/duty"
 	"spokegw/internal/fleet/message"
@@ -52,6 +53,7 @@
 	busy    int
 	waiting []*job
 	dead    bool // it is out of reach
+	leaving bool // it drains
 	life    int  // increases when what it had is lost
 	started time.Duration
 	second  time.Duration // of which got is what it was sent, while cold
@@ -90,12 +92,15 @@
 	// SiteNames are those of the fleet's gateways, in turn; none: there are no sites.
 	SiteNames []string
 	Skewed    bool // some gateways have several times the traffic of others
+	// Quota is how many requests a second all gateways together may admit, with bursts of so
+	// many; 0: there is no quota.
+	Quota, Burst float64
 }
 
 // Tally is what became of requests.
 type Tally struct {
-	Asked, Good, Late, Refused, Failed int
-	Worth, Possible                    float64
+	Asked, Good, Late, Refused, Failed, OverQuota int
+	Worth, Possible                               float64
 }
 
 // Lab is a fleet that is played.
@@ -115,6 +120,7 @@
 	until    time.Duration // requests come
 	asking   bool
 	whole    float64 // capacity at the beginning
+	admitted admitted
 }
 
 // gateway is one of them.
@@ -131,6 +137,7 @@
 	fails    map[string]int
 	asked    weights.Sums
 	door     *sites.Door
+	contract *contract // nil: there is no quota
 }
 
 type call struct {
@@ -142,6 +149,7 @@
 	sent    int
 	by      int // the attempt that answered
 	attempt map[int]*job
+	ticket  *broker.Ticket // nil: no quota is charged, or no longer
 }
 
 type job struct {
@@ -189,7 +197,7 @@
 		names = append(names, p.Name)
 	}
 	g.node = council.NewNode(now, duty.Settings{Lease: set.Lease, Drift: set.Drift}, name, incarnation, names, g, l.layout(names))
-	g.balancer = l.balancer(incarnation)
+	g.balancer, g.contract = l.balancer(incarnation), l.newContract(now, set, name, incarnation, plan)
 	at := time.Duration(0)
 	if l.World != nil { // it is started again
 		at = l.Now
@@ -244,15 +252,18 @@
 
 func (g *gateway) Endpoints() (all []weights.Endpoint) {
 	for i, s := range g.lab.Servers {
-		all = append(all, weights.Endpoint{ID: g.lab.ids[i], Kind: uint32(s.Kind), Nominal: s.Listed, Site: s.Site, Ready: true, Warmth: s.warmth(g.lab.Now)})
+		all = append(all, weights.Endpoint{ID: g.lab.ids[i], Kind: uint32(s.Kind), Nominal: s.Listed, Site: s.Site, Ready: !s.leaving, Warmth: s.warmth(g.lab.Now)})
 	}
 	return all
 }
 
-// Tick, Take and Limit are a gateways.Way, which shares no quota here.
-func (g *gateway) Tick(now time.Duration, _ quota.Part, candidates []string) []gateways.Message {
+// Tick, Take and Limit are a gateways.Way.
+func (g *gateway) Tick(now time.Duration, _ quota.Part, candidates []string) (all []gateways.Message) {
+	if g.contract != nil {
+		all = quotaMessages(g.contract.tick(now, candidates))
+	}
 	if g.lab.Way < Fleet {
-		return nil
+		return all
 	}
 	out := g.node.Tick(now, candidates)
 	factors, _ := g.node.Factors(now)
@@ -261,7 +272,7 @@
 	if g.node.InForce(now) {
 		g.resize()
 	}
-	return g.messages(out)
+	return append(all, g.messages(out)...)
 }
 
 func (g *gateway) resize() {
@@ -281,11 +292,19 @@
 }
 
 func (g *gateway) Take(now time.Duration, body any) []gateways.Message {
+	if o, ok := body.(quota.Out); ok {
+		return quotaMessages(g.contract.take(now, o))
+	}
 	out, _ := g.node.Take(now, body.(council.Message))
 	return g.messages(out)
 }
 
-func (g *gateway) Limit(time.Duration) quota.Limit { return quota.Limit{} }
+func (g *gateway) Limit(now time.Duration) quota.Limit {
+	if g.contract == nil {
+		return quota.Limit{}
+	}
+	return g.contract.enforce(now)
+}
 
 func (g *gateway) messages(all []council.Out) (out []gateways.Message) {
 	for _, o := range all {
@@ -329,7 +348,7 @@
 		for l.load[i] < at {
 			i++
 		}
-		if l.Nodes[i].Up {
+		if l.Nodes[i].Serves() {
 			l.order[i].request()
 			return
 		}
@@ -353,7 +372,13 @@
 	l.Tally.Asked++
 	l.Tally.Possible += k.Worth
 	g.asked.Ended(weights.Class(class), false, weights.Served, 0, c.hint)
-	if g.door != nil && !g.door.Admits(sites.Group{Class: uint16(class)}, l.Rand.Float64()) {
+	switch {
+	case !g.admit(c):
+		l.Tally.OverQuota++
+		delete(g.calls, id)
+		return
+	case g.door != nil && !g.door.Admits(sites.Group{Class: uint16(class)}, l.Rand.Float64()):
+		g.withdraw(c)
 		l.Tally.Refused++
 		delete(g.calls, id)
 		return
@@ -413,6 +438,7 @@
 	if c := g.calls[id]; c != nil && !c.over {
 		c.over = true
 		*n++
+		g.charged(c, broker.Failed)
 	}
 }
 
@@ -515,6 +541,7 @@
 	g.sums[j.at].Ended(weights.Class(c.class), false, how, took, c.hint)
 	if r == policy.Served && !c.over {
 		c.over, c.by = true, j.n
+		g.charged(c, broker.Answered)
 		l.served(c)
 	}
 	if l.Way < Alone {
--- a/internal/lab/hardware/sites.go
+++ b/internal/lab/hardware/sites.go
@@ -57,9 +57,7 @@
 func (l *Lab) begin(i int) {
 	l.Servers[i].started = l.Now
 	l.ids[i] = weights.NewID("", l.names[i], l.Now)
-	for _, g := range l.order {
-		l.After(time.Duration(l.Rand.Int64N(int64(time.Second))), func() { g.relist(i) })
-	}
+	l.tell(i)
 }
 
 // relist tells the decision module of a server that has started, or that the plan has turned.
@@ -72,7 +70,7 @@
 	if l.Way == Breaker {
 		e.Started = 0 // what is back is back
 	}
-	if g.away[i] {
+	if g.away[i] || l.Servers[i].leaving {
 		e.Readiness = policy.Draining
 	}
 	g.sums[i].ID = l.ids[i]
@@ -128,7 +126,7 @@
 }
 
 // fall counts what a cold server is sent in a second, and has it fall over where that is too
-// much: more than N + 3 root N + 3 requests of mean work, N being what it can do.
+// much: more than N + 2 root N + 2 requests of mean work, N being what it can do.
 func (l *Lab) fall(i int) {
 	s := l.Servers[i]
 	if s.started == 0 || l.Now-s.started >= coldTime {
@@ -139,7 +137,7 @@
 	}
 	s.got++
 	can := float64(s.Workers) * s.Speed * s.warmth(l.Now) / l.meanWork()
-	if float64(s.got) > can+3*math.Sqrt(can)+3 {
+	if float64(s.got) > can+2*math.Sqrt(can)+2 {
 		l.Falls++
 		s.dead, s.got = true, 0
 		s.busy, s.waiting, s.life = 0, nil, s.life+1
