cmd/spokegw: a site is lost in a release, beside planned restarts of gateways

Need: over processes a site was lost only while nothing else changed. TestSiteLossInARelease has six processes in three sites before nine endpoints that are replaced one after the other when one site goes, with an endpoint that drains, one that has just started and one still to go; the release goes on and gateways end with SIGTERM meanwhile. federation.Replace, Restart and Late are for it; a client's request that no process took the connection of is told apart.

--- a/cmd/spokegw/sites_test.go
+++ b/cmd/spokegw/sites_test.go
@@ -153,3 +153,84 @@
 	}
 	g.check()
 }
+
+// All endpoints are replaced, one after the other, and the gateways are restarted as planned, when a
+// site is lost with its own: one of its endpoints is draining then, one has just started, one is still to go. The
+// release goes on elsewhere meanwhile, and no other site is given up for it; nor was any before. It
+// returns as other processes than were lost. Nothing that leaves is met once that is told and its
+// time is over, whatever happens; and each request has its answer.
+func TestSiteLossInARelease(t *testing.T) {
+	e := lab.EndpointConfig{Workers: 8, Work: 10 * time.Millisecond, Body: 10}
+	g := gather(t, federation.Config{
+		Partners: []int{2, 2, 2}, Parts: []float64{0.34, 0.33, 0.33}, Weights: true, Sites: []string{"bijela", "javor", "lisina"},
+		Rate: 2000, Burst: 200, Lease: time.Second, Seed: 9, Cold: 4 * time.Second,
+		Endpoints: []lab.EndpointConfig{e, e, e, e, e, e, e, e, e},
+	})
+	replace := func(i int) (now int) {
+		t.Helper()
+		now, err := g.Replace(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return now
+	}
+	others := []string{"bijela", "lisina"}
+	stands := func(when string, sites ...string) {
+		t.Helper()
+		for i := range g.Gateways {
+			for _, site := range sites {
+				if state := g.figure(i, "site."+site+".state"); state >= siteLost {
+					t.Errorf("%s gateway %d has %s in state %v", when, i, site, state)
+				}
+			}
+		}
+	}
+	g.Demand(30)
+	g.until("all have a table", func() bool { return g.holder() >= 0 && g.allSay("javor", 0) })
+	g.becomesQuiet()
+	fresh := map[int]int{}
+	for _, i := range []int{0, 1, 2} { // the first of each site
+		fresh[i] = replace(i)
+		g.until("the new one is met", func() bool { return g.Came(fresh[i]) > 0 })
+		stands("in the release", "bijela", "javor", "lisina")
+	}
+	fresh[4] = replace(4) // of javor: it drains still, and its place has just begun
+	lost := []int{1, 4}
+	for _, i := range lost {
+		g.Gateways[i].Kill()
+	}
+	for _, i := range []int{1, fresh[1], 4, fresh[4], 7} {
+		g.Endpoint(i).Silence()
+	}
+	for _, i := range []int{3, 5} { // the release goes on
+		fresh[i] = replace(i)
+		g.until("the new one is met, beside a site that is lost", func() bool { return g.Came(fresh[i]) > 0 })
+		if err := g.Gateways[i].Restart(); err != nil { // of the same site
+			t.Fatal(err)
+		}
+		stands("beside the loss", others...)
+	}
+	g.until("javor is given up", func() bool { return g.allSay("javor", siteLost, lost...) })
+	for _, i := range []int{6, 8} {
+		fresh[i] = replace(i)
+		g.until("the new one is met, without a site", func() bool { return g.Came(fresh[i]) > 0 })
+		stands("without javor", others...)
+	}
+	for _, i := range []int{fresh[1], fresh[4], 7} { // what stood there is gone for good
+		fresh[i] = replace(i)
+	}
+	for _, i := range lost {
+		if err := g.Gateways[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.until("javor is whole, in other processes", func() bool { return g.allSay("javor", 0) })
+	g.until("all its endpoints are met", func() bool {
+		return g.Came(fresh[fresh[1]]) > 0 && g.Came(fresh[fresh[4]]) > 0 && g.Came(fresh[7]) > 0
+	})
+	stands("at the end", others...)
+	if n := g.Late(); n > 0 {
+		t.Errorf("%d requests came to endpoints that were to be left alone", n)
+	}
+	g.check()
+}
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -41,6 +41,7 @@
 	Weights  bool     // endpoints are weighed by what the fleet measures
 	// Endpoints are what serves; none: two that do anything in a millisecond.
 	Endpoints []lab.EndpointConfig
+	Cold      time.Duration // that new endpoints are; 0: none is
 	Seed      uint64
 	Log       io.Writer // of the processes; nil: nowhere
 }
@@ -51,17 +52,25 @@
 // Federation is one that runs.
 type Federation struct {
 	Config
-	Gateways  []*Gateway
-	links     [][]*links.Link // from, to
-	endpoints []*lab.Endpoint
-	registry  *lab.Registry
-	came      []atomic.Int64 // requests, by endpoint
-	begun     time.Time
-	asked     time.Duration // when clients began
+	Gateways []*Gateway
+	links    [][]*links.Link // from, to
+	registry *lab.Registry
+	begun    time.Time
+	asked    time.Duration // when clients began
 
-	mu   sync.Mutex
-	ran  []time.Duration // requests at the endpoints, since begun
-	keys map[string]run
+	mu        sync.Mutex
+	ran       []time.Duration // requests at the endpoints, since begun
+	keys      map[string]run
+	endpoints []*endpoint
+}
+
+// endpoint is one of those that serve, or did.
+type endpoint struct {
+	*lab.Endpoint
+	entry   discovery.Entry
+	came    int           // requests
+	leaving time.Duration // since when the list has it so; 0: it has not
+	late    int           // requests that came later than grace after that
 }
 
 // Gateway is one of its processes.
@@ -101,17 +110,10 @@
 		whole := lab.EndpointConfig{Workers: 2000, Work: time.Millisecond, Body: 10}
 		f.Endpoints = []lab.EndpointConfig{whole, whole}
 	}
-	f.came = make([]atomic.Int64, len(f.Endpoints))
 	for i, c := range f.Endpoints {
-		c.Seen = func(r *http.Request) {
-			f.came[i].Add(1)
-			f.met(r, i)
-		}
-		e, err := lab.StartEndpoint(c)
-		if err != nil {
+		if err := f.serve(c, i/4, f.site(i), 0); err != nil {
 			return err
 		}
-		f.endpoints = append(f.endpoints, e)
 	}
 	if f.registry, err = lab.StartRegistry(f.entries(), nil); err != nil {
 		return err
@@ -137,14 +139,73 @@
 	return nil
 }
 
+// serve starts an endpoint, in a group and a site.
+func (f *Federation) serve(c lab.EndpointConfig, cell int, site string, started int64) error {
+	e := &endpoint{}
+	c.Seen = func(r *http.Request) { f.met(r, e) }
+	var err error
+	if e.Endpoint, err = lab.StartEndpoint(c); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.entry = discovery.Entry{ID: fmt.Sprint("maps-", len(f.endpoints)), Addr: e.Addr(), Zone: site, Kind: "std", Cell: cell, State: "active", Weight: 1, StartedMS: started}
+	f.endpoints = append(f.endpoints, e)
+	return nil
+}
+
+// entries list the endpoints that have not left.
 func (f *Federation) entries() []discovery.Entry {
-	entries := scene.Entries(f.endpoints...)
-	for i := range entries {
-		entries[i].Zone = f.site(i)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := []discovery.Entry{}
+	for _, e := range f.endpoints {
+		if e.entry.State != "left" {
+			entries = append(entries, e.entry)
+		}
 	}
 	return entries
 }
 
+// Replace has an endpoint leave, and a new one in its place, which has just started. It
+// returns the new one's number.
+func (f *Federation) Replace(i int) (int, error) {
+	f.mu.Lock()
+	e, n := f.endpoints[i], len(f.endpoints)
+	e.entry.State, e.leaving = "leaving", time.Since(f.begun)
+	entry := e.entry
+	f.mu.Unlock()
+	err := f.serve(f.Endpoints[i%len(f.Endpoints)], entry.Cell, entry.Zone, time.Now().UnixMilli())
+	if err == nil {
+		f.registry.Set(f.entries())
+	}
+	return n, err
+}
+
+// Left has an endpoint that was replaced be gone.
+func (f *Federation) Left(i int) {
+	f.mu.Lock()
+	f.endpoints[i].entry.State = "left"
+	f.mu.Unlock()
+	f.registry.Set(f.entries())
+}
+
+// grace is how long after the list has an endpoint leaving requests may still come to it:
+// the platform's is 1 s, and the list is told at once; the rest is for a machine that is
+// short of processors.
+const grace = 1500 * time.Millisecond
+
+// Late is how many requests came to endpoints that the list had as leaving for longer than
+// they may.
+func (f *Federation) Late() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		n += e.late
+	}
+	return n
+}
+
 // site is that of a gateway or an endpoint; "": there are none.
 func (f *Federation) site(i int) string {
 	if len(f.Sites) == 0 {
@@ -223,7 +284,7 @@
 func (g *Gateway) configure() error {
 	f := g.of
 	platform := scene.Configuration(scene.Platform{
-		Name: g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0,
+		Name: g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0, Cold: f.Cold,
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": window.Milliseconds(),
 			"worth": 3, "late_worth": 0.4, "aim_ms": 2000, "hard_limit_ms": deadline.Milliseconds()}},
 	})
@@ -340,6 +401,16 @@
 	<-p.Ended
 }
 
+// Restart has the process end as planned, with SIGTERM, and starts another. Requests that it
+// had taken when it was told count as any other's.
+func (g *Gateway) Restart() error {
+	p := g.Process()
+	p.Signal(syscall.SIGTERM)
+	<-p.Ended
+	g.setDown(true)
+	return g.Start()
+}
+
 // Pause has the process stand still.
 func (g *Gateway) Pause() {
 	g.setDown(true)
@@ -386,12 +457,15 @@
 const window = 5 * time.Second
 
 // met notes a request at an endpoint.
-func (f *Federation) met(r *http.Request, endpoint int) {
+func (f *Federation) met(r *http.Request, e *endpoint) {
 	at := time.Since(f.begun)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ran = append(f.ran, at)
-	key, cell := r.Header.Get("Idempotency-Key"), endpoint/4
+	if e.came++; e.leaving > 0 && at > e.leaving+grace {
+		e.late++
+	}
+	key, cell := r.Header.Get("Idempotency-Key"), e.entry.Cell
 	if before, came := f.keys[key]; !came {
 		f.keys[key] = run{at: at, cell: cell}
 	} else if len(f.Sites) == 0 || cell != before.cell || at-before.at >= window { // no second copies, or out of its group or window
@@ -401,10 +475,18 @@
 }
 
 // Came is how many requests have come to an endpoint.
-func (f *Federation) Came(endpoint int) int { return int(f.came[endpoint].Load()) }
+func (f *Federation) Came(endpoint int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[endpoint].came
+}
 
 // Endpoint is one of those that serve.
-func (f *Federation) Endpoint(i int) *lab.Endpoint { return f.endpoints[i] }
+func (f *Federation) Endpoint(i int) *lab.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[i].Endpoint
+}
 
 // Ran is how many requests came to the endpoints since a time.
 func (f *Federation) Ran(since time.Time) int {
@@ -491,8 +573,8 @@
 
 // Tally is what clients had of all gateways: Failed had no answer of a process that went
 // on, Other one that is neither, Lost none or such a one of a process that was killed or stood
-// still meanwhile.
-type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost int }
+// still meanwhile, Unconnected came to one that takes no more, as it ends.
+type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost, Unconnected int }
 
 // Tally counts what has ended.
 func (f *Federation) Tally() (t Tally) {
@@ -506,6 +588,8 @@
 				t.OverQuota++
 			case g.wasDown(from, from+r.Took):
 				t.Lost++
+			case r.Unconnected:
+				t.Unconnected++
 			case r.Status != 0:
 				t.Other++
 			default:
@@ -522,7 +606,7 @@
 	for _, g := range f.Gateways {
 		for _, r := range g.load.Results() {
 			from := f.asked + r.At
-			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || g.wasDown(from, from+r.Took) {
+			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || r.Unconnected || g.wasDown(from, from+r.Took) {
 				continue
 			}
 			counts[fmt.Sprintf("%5.1fs %s %d %s", from.Round(500*time.Millisecond).Seconds(), g.Name, r.Status, r.Took.Round(200*time.Millisecond))]++
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +45,8 @@
 	Status  int // 0: no answer
 	RetryIn string
 	Cost    time.Duration
+
+	Unconnected bool // nobody took the connection that it was to go by
 }
 
 // Refused reports whether the request was turned away with the promise that a
@@ -158,6 +162,7 @@
 		r.RetryIn = resp.Header.Get("Retry-After")
 	}
 	r.Took = time.Since(begun)
+	r.Unconnected = errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil {
 		r.Status = resp.StatusCode
 	}
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -206,6 +206,7 @@
 	MaxTries           int               // 0: 3
 	ConnectTimeout     time.Duration     // 0: 100 ms
 	SecondCopies       bool
+	Cold               time.Duration // that a new endpoint takes until it is warm, from a fifth of its capacity; 0: none is cold
 	Classes            []Class
 }
 
@@ -222,6 +223,7 @@
 				"cancelling": true, "second_copies": p.SecondCopies,
 			},
 			"classes": p.Classes,
+			"rules":   map[string]any{"cold_ms": p.Cold.Milliseconds(), "start_capacity": 0.2},
 		},
 	})
 	return text
