--- a/bench/federation/main.go
+++ b/bench/federation/main.go
@@ -25,7 +25,15 @@
 	rate := flag.Float64("rate", 600, "of the quota, requests a second")
 	program := flag.String("program", "bin/spokegw", "the sidecar's command")
 	phase := flag.Duration("phase", 6*time.Second, "of each scene, of which the last half is measured")
+	sites := flag.Bool("sites", false, "play the loss of a site in place of a shared quota; phases of 30s are of use")
 	flag.Parse()
+	if *sites {
+		if err := runSites(*program, *gateways, *phase); err != nil {
+			fmt.Fprintln(os.Stderr, "federation:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if err := run(*program, *gateways, *rate, *phase); err != nil {
 		fmt.Fprintln(os.Stderr, "federation:", err)
 		os.Exit(1)
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -286,7 +286,7 @@
 	platform := scene.Configuration(scene.Platform{
 		Name: g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0, Cold: f.Cold,
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": window.Milliseconds(),
-			"worth": 3, "late_worth": 0.4, "aim_ms": 2000, "hard_limit_ms": deadline.Milliseconds()}},
+			"worth": 3, "late_worth": 0.4, "aim_ms": aim.Milliseconds(), "hard_limit_ms": deadline.Milliseconds()}},
 	})
 	if err := g.write("config.json", platform); err != nil {
 		return err
@@ -549,8 +549,11 @@
 	clients.Wait()
 }
 
-// deadline is that of a request.
-const deadline = 5 * time.Second
+// aim and deadline are those of a request.
+const (
+	aim      = 2 * time.Second
+	deadline = 5 * time.Second
+)
 
 // newLoad is what clients ask a gateway for.
 func (g *Gateway) newLoad() *lab.Load {
@@ -600,6 +603,38 @@
 	return t
 }
 
+// Span is what became of what clients asked in a time, of processes that went on.
+type Span struct{ Asked, InTime, Refused, Failed int }
+
+// String has the parts in percent.
+func (s Span) String() string {
+	of := func(n int) float64 { return 100 * float64(n) / max(1, float64(s.Asked)) }
+	return fmt.Sprintf("%.1f, %.1f, %.1f", of(s.InTime), of(s.Refused), of(s.Failed))
+}
+
+// Between is what became of what was asked from one time to another and has ended. Over the
+// quota counts as refused.
+func (f *Federation) Between(from, to time.Time) (s Span) {
+	for _, g := range f.Gateways {
+		for _, r := range g.load.Results() {
+			at := f.asked + r.At
+			if at < from.Sub(f.begun) || at > to.Sub(f.begun) || g.wasDown(at, at+r.Took) {
+				continue
+			}
+			s.Asked++
+			switch {
+			case r.Status == http.StatusOK && r.Took <= aim:
+				s.InTime++
+			case r.Refused():
+				s.Refused++
+			case r.Status != http.StatusOK:
+				s.Failed++
+			}
+		}
+	}
+	return s
+}
+
 // Unexpected tells what Tally counts as Other and Failed: how many by half second, gateway, status and time taken, 200 lines at most.
 func (f *Federation) Unexpected() string {
 	counts := map[string]int{}
