lease: which replies are news is told in one place, for quota and duty

Need: the holder of a quota and the voter for the duty each had the same thirteen lines that tell a late, repeated or former one's reply from a new one; a fault mended in one would have stayed in the other. lease.Replies has them now, and both use it.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -86,12 +86,10 @@
 	incarnation uint64
 	fresh       time.Duration // until then a former self may be promised
 
-	choice lease.Choice
-	seatIs uint64 // its incarnation; 0: not known
-	heard  uint64 // its latest reply
-	anchor uint64 // the latest report that a reply taken has answered
-	sent   lease.Sent
-	term   Term // the highest known
+	choice  lease.Choice
+	replies lease.Replies // the choice's
+	sent    lease.Sent
+	term    Term // the highest known
 
 	promisedTo string // the latest, and until when
 	promisedIs uint64
@@ -140,7 +138,7 @@
 	if v.choice.Name == "" {
 		return nil
 	}
-	r := Report{From: v.name, Incarnation: v.incarnation, To: v.choice.Name, ToIncarnation: v.seatIs, Heard: v.heard, Term: v.term}
+	r := Report{From: v.name, Incarnation: v.incarnation, To: v.choice.Name, ToIncarnation: v.replies.Is, Heard: v.replies.Latest, Term: v.term}
 	r.Promise = v.promise(now)
 	r.Seq = v.sent.Next(now)
 	all = append(all, r)
@@ -154,7 +152,10 @@
 }
 
 // turn forgets what was of the choice before.
-func (v *Voter) turn() { v.seatIs, v.heard, v.holds = 0, 0, 0 }
+func (v *Voter) turn() {
+	v.replies.Turn()
+	v.holds = 0
+}
 
 // hint takes another's word of who holds the duty, while this gateway knows of nobody. It is
 // only asked: what it says itself counts.
@@ -172,11 +173,11 @@
 
 // promise reports whether the next report promises, and notes that.
 func (v *Voter) promise(now time.Duration) bool {
-	other := v.promisedTo != v.choice.Name || v.promisedIs != v.seatIs
-	if v.heard == 0 || now < v.fresh || other && now < v.promised {
+	other := v.promisedTo != v.choice.Name || v.promisedIs != v.replies.Is
+	if v.replies.Latest == 0 || now < v.fresh || other && now < v.promised {
 		return false
 	}
-	v.promisedTo, v.promisedIs, v.promised = v.choice.Name, v.seatIs, now+v.set.surely()
+	v.promisedTo, v.promisedIs, v.promised = v.choice.Name, v.replies.Is, now+v.set.surely()
 	return true
 }
 
@@ -199,16 +200,10 @@
 	if v.hint(now, r); r.From != v.choice.Name {
 		return false
 	}
-	if r.Incarnation != v.seatIs { // it has started anew, unless this is late
-		if r.Heard <= v.anchor {
-			return false
-		}
-		v.seatIs, v.heard = r.Incarnation, 0
-	}
-	if r.Seq <= v.heard {
+	if !v.replies.Take(r.Incarnation, r.Seq, r.Heard) {
 		return false
 	}
-	v.heard, v.choice.HeardAt, v.anchor = r.Seq, now, max(v.anchor, r.Heard)
+	v.choice.HeardAt = now
 	if v.holds = 0; r.Term >= v.term && r.Term > 0 {
 		v.term, v.holds, v.until = r.Term, r.Term, at+v.set.Lease
 	}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -49,6 +49,32 @@
 // Forget has what went out so far count for nothing.
 func (s *Sent) Forget() { s.first = s.seq + 1 }
 
+// Replies tells which replies of the one that is reported to are news, however many are late,
+// repeated or out of order, and whether it starts anew.
+type Replies struct {
+	Is     uint64 // its incarnation; 0: not known
+	Latest uint64 // the latest reply that was taken; 0: none
+	anchor uint64 // the latest report that a reply taken has answered, whoever's
+}
+
+// Take takes the number of a reply, and that of the report that it answers. false: it is late.
+func (r *Replies) Take(incarnation, seq, answers uint64) bool {
+	if incarnation != r.Is { // it has started anew, unless this is late
+		if answers <= r.anchor {
+			return false
+		}
+		r.Is, r.Latest = incarnation, 0
+	}
+	if seq <= r.Latest {
+		return false
+	}
+	r.Latest, r.anchor = seq, max(r.anchor, answers)
+	return true
+}
+
+// Turn notes that another one is reported to from now on.
+func (r *Replies) Turn() { r.Is, r.Latest = 0, 0 }
+
 // Choice is whom a gateway reports to: the best candidate that is not silent.
 type Choice struct {
 	Name    string        // "": nobody
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -29,11 +29,9 @@
 	fresh       time.Duration // until then a former self's cessions may be in use
 	bumped      int           // times that a later incarnation was known
 
-	steward   lease.Choice
-	stewardIs uint64 // its incarnation; 0: not known
-	heard     uint64 // its latest reply
-	anchor    uint64 // the latest report that a reply taken has answered
-	sent      lease.Sent
+	steward lease.Choice
+	replies lease.Replies // the steward's
+	sent    lease.Sent
 
 	ceded  []ceded
 	grant  Part
@@ -109,7 +107,8 @@
 // choose takes the best steward that is not silent.
 func (h *Holder) choose(now time.Duration, candidates []string) {
 	if h.steward.Take(now, candidates) {
-		h.stewardIs, h.heard, h.ask = 0, 0, 0
+		h.replies.Turn()
+		h.ask = 0
 	}
 }
 
@@ -117,12 +116,12 @@
 func (h *Holder) report(now time.Duration) Report {
 	h.forget(now)
 	r := Report{
-		From: h.name, Incarnation: h.incarnation, To: h.steward.Name, ToIncarnation: h.stewardIs,
-		Heard: h.heard, Demand: h.demand, Cede: h.cedes(now),
+		From: h.name, Incarnation: h.incarnation, To: h.steward.Name, ToIncarnation: h.replies.Is,
+		Heard: h.replies.Latest, Demand: h.demand, Cede: h.cedes(now),
 	}
 	r.Seq = h.sent.Next(now)
 	if r.Cede > 0 {
-		c := h.cededTo(h.steward.Name, h.stewardIs)
+		c := h.cededTo(h.steward.Name, h.replies.Is)
 		c.entries = c.entries.add(entry{r.Incarnation, r.Seq, r.Cede, int64(now + h.set.surely(h.set.Lease))})
 		if n := len(c.entries); n > mostEntries { // the two oldest as one that stands for both
 			a, b := c.entries[0], c.entries[1]
@@ -135,17 +134,17 @@
 
 // cedes is what the next report cedes: what the steward asks for, of what is not used.
 func (h *Holder) cedes(now time.Duration) Part {
-	if h.heard == 0 || now < h.fresh || h.ask <= 0 {
+	if h.replies.Latest == 0 || now < h.fresh || h.ask <= 0 {
 		return 0
 	}
 	others := Part(0)
 	for i := range h.ceded {
-		if c := &h.ceded[i]; c.steward != h.steward.Name || c.incarnation != h.stewardIs {
+		if c := &h.ceded[i]; c.steward != h.steward.Name || c.incarnation != h.replies.Is {
 			others += c.entries.most(int64(now))
 		}
 	}
 	keep := max(h.floor(), Part(spareDemand*float64(h.demand)))
-	if h.cededTo(h.steward.Name, h.stewardIs) == nil {
+	if h.cededTo(h.steward.Name, h.replies.Is) == nil {
 		return 0
 	}
 	return max(0, min(h.ask, h.part-keep-others))
@@ -189,16 +188,10 @@
 	if r.ToIncarnation != h.incarnation || r.From != h.steward.Name {
 		return false
 	}
-	if r.Incarnation != h.stewardIs { // it has started anew, unless this is late
-		if r.Heard <= h.anchor {
-			return false
-		}
-		h.stewardIs, h.heard = r.Incarnation, 0
-	}
-	if r.Seq <= h.heard {
+	if !h.replies.Take(r.Incarnation, r.Seq, r.Heard) {
 		return false
 	}
-	h.heard, h.steward.HeardAt, h.anchor = r.Seq, now, max(h.anchor, r.Heard)
+	h.steward.HeardAt = now
 	before, asked := h.Limit(now).Grant, h.ask
 	h.ask = clamp(r.Ask)
 	h.grant, h.until = 0, 0
