bench/mutants: faults in what serves the quota are tried with the quota's tests

Seen: after lease.Replies the two faults moved with it were told missed, as the tool ran the tests of the mutated file's own package.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -201,6 +201,14 @@
 	failed   = regexp.MustCompile(`--- FAIL: (\w+)`)
 )
 
+// tested is the folder whose tests find a mutant: that of its file, but for what serves others.
+func tested(m mutant) string {
+	if m.test == leases {
+		return "internal/fleet/quota"
+	}
+	return filepath.Dir(m.file)
+}
+
 // try runs the exploration with the mutant in place. It tells the length of the
 // counterexample and the property that it breaks; "" where there is none.
 func try(m mutant, folder string) (events int, property string, err error) {
@@ -227,7 +235,7 @@
 		return 0, "", err
 	}
 	// The exit code tells nothing that the output does not.
-	args := []string{"test", "-count=1", "-vet=off", "-overlay", overlay, "-run", "^" + m.test + "$", "./" + filepath.Dir(m.file)}
+	args := []string{"test", "-count=1", "-vet=off", "-overlay", overlay, "-run", "^" + m.test + "$", "./" + tested(m)}
 	switch m.test {
 	case leases:
 		args = append(args, "-explore-depth", "6", "-schedules", "400")
