http1, core: no attempt begins for a client that has closed its connection

Read and found at fault: - plain.go nextHead waited for the answer once something had come behind the request, and clientConn.readHead gave it to net/http, which reads no further: a close after that went unseen until the deadline. Both read on now and drop it. - plain.take handed a request to a worker before reading on, so one whose client had closed while the process stood still was sent first. Ending.EndUnsent ends what has not been sent. - A dial that was called off was told as NoConnection, which takes an innocent endpoint's health: NotSent now.

Tests: TestClientLeavesBehindMore, TestClosedBeforeRead, TestNoFurtherAttemptForAClosedConnection, TestLeftWhileConnecting failed without the mend (called off after 7 s; all 20 sent on; a second and third attempt; the attempt went on for 20 s); TestCalledOffBeforeSent is new with it.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -17,10 +18,16 @@
 
 // alone is a core of one service with one endpoint that nobody is at.
 func alone(t testing.TB) (*Core, *Service) {
+	t.Helper()
+	return aloneWith(t, budget.New(4).Join(1, nil), time.Second)
+}
+
+// aloneWith is alone with these places for connections, and how long one may take.
+func aloneWith(t testing.TB, slots *budget.Part, connect time.Duration) (*Core, *Service) {
 	t.Helper()
 	s, err := NewService(ServiceConfig{
 		Kinds: []string{"std"}, Rooms: []Room{{Bodies: budget.New(1<<20).Join(1, nil)}}, Seed: 1, Figures: figures.New(),
-		Pool: upstream.NewPool(upstream.Shares{Slots: budget.New(4).Join(1, nil), Long: budget.New(1<<20).Join(1, nil)}, time.Second, time.Minute),
+		Pool: upstream.NewPool(upstream.Shares{Slots: slots, Long: budget.New(1<<20).Join(1, nil)}, connect, time.Minute),
 		Settings: Settings{Classes: []string{"tile"}, Policy: policy.Settings{
 			FleetSize: 1, MaxAttempts: 3, Cancel: true, ConnIdle: time.Minute,
 			Classes: []policy.Class{{Aim: time.Second, Deadline: time.Second, Worth: 1, LateWorth: 0.5}},
@@ -78,6 +85,73 @@
 	}
 }
 
+// closedConnection is a client that has closed its connection, which nobody has told yet.
+type closedConnection struct{}
+
+func (closedConnection) Left() bool { return true }
+
+// A client whose connection is closed by the time an attempt has failed gets no other one,
+// though word of its leaving comes later: after a stall both wait, in any order.
+func TestNoFurtherAttemptForAClosedConnection(t *testing.T) {
+	c, s := alone(t)
+	x := open(t, c, "1")
+	x.head.Client = closedConnection{}
+	if a, err := x.Do(context.Background(), nil); err != ErrGone {
+		t.Errorf("answered %d, %v", a.Status, err)
+	}
+	x.Leave()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(x.call.attempts) - 1; n != 1 || x.call.attempts[1].sent {
+		t.Errorf("%d further attempts were decided on, and one was made: %v", n, x.call.attempts[1].sent)
+	}
+	if len(s.calls) != 0 || s.timers.queue.Len() != 0 || x.place.open.Load() != 0 {
+		t.Errorf("%d calls, %d timers and %d requests of the class are left", len(s.calls), s.timers.queue.Len(), x.place.open.Load())
+	}
+}
+
+// A client leaves while its attempt waits for a connection, where attempts may not be
+// called off: nothing has been sent, so the attempt ends there and then.
+func TestLeftWhileConnecting(t *testing.T) {
+	const longest = 20 * time.Second // a tenth of what the attempt would wait for
+	for _, mayCancel := range []bool{false, true} {
+		slots := budget.New(1).Join(1, nil)
+		c, s := aloneWith(t, slots, 10*longest)
+		s.settled.policy.Cancel = mayCancel
+		if err := s.balancer.Retune(s.settled.policy); err != nil {
+			t.Fatal(err)
+		}
+		if !slots.TryAcquire(1) { // the attempt waits for the one place there is
+			t.Fatal("the place is taken")
+		}
+		x := open(t, c, "1")
+		x.request.Left = 10 * longest
+		ended := make(chan error)
+		go func() {
+			_, err := x.Do(context.Background(), nil)
+			ended <- err
+		}()
+		for taken := false; !taken; runtime.Gosched() {
+			s.mu.Lock()
+			taken = x.call != nil && len(x.call.attempts) == 1
+			s.mu.Unlock()
+		}
+		left := time.Now()
+		x.Leave()
+		if err := <-ended; err != ErrGone {
+			t.Errorf("cancelling %v: ended with %v", mayCancel, err)
+		}
+		for calls := 1; calls > 0; runtime.Gosched() {
+			s.mu.Lock()
+			calls = len(s.calls)
+			s.mu.Unlock()
+			if time.Since(left) > longest {
+				t.Fatalf("cancelling %v: the attempt goes on", mayCancel)
+			}
+		}
+	}
+}
+
 // Four hours of requests, one a second, each with attempts that fail, leave no call, no
 // timer and no room behind, and the wheel has no more places than timers were set at once.
 func TestSoakOfRequests(t *testing.T) {
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -22,6 +22,14 @@
 	Host   string      // the authority asked
 	Header http.Header // canonical names
 	Length int64       // of the body; -1: not told
+	Client Client      // nil: who sent it can't be looked for
+}
+
+// Client is who sent a request, as its front sees it.
+type Client interface {
+	// Left reports whether the client has closed its connection. It does not wait. Word of
+	// that may still be on its way, as Exchange.Leave.
+	Left() bool
 }
 
 const (
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -290,12 +290,20 @@
 	})
 }
 
-// left has a call over without an answer.
+// left has a call over without an answer. Attempts whose connection is still being made
+// are ended, also where the module may not call off what is out: nothing of them is.
 func (s *Service) left(c *call) {
 	s.unsent(c)
+	for _, a := range c.attempts {
+		a.end.EndUnsent(upstream.ErrCalledOff)
+	}
 	s.conclude(c, Answer{})
 }
 
+// clientLeft reports whether the client has left, also where word of it is still on its
+// way: after a stall that and the end of an attempt wait together, in any order.
+func (x *Exchange) clientLeft() bool { return x.head.Client != nil && x.head.Client.Left() }
+
 // conclude gives the final answer, once.
 func (s *Service) conclude(c *call, a Answer) {
 	if c == nil || c.over {
@@ -327,6 +335,12 @@
 		a = new(attempt)
 	}
 	a.call, a.n, a.endpoint = c, len(c.attempts), to.Endpoint
+	if a.n > 0 && !c.over && c.exchange.clientLeft() {
+		c.tell("not sent", "attempt %d: the client has closed its connection", a.n)
+		s.left(c)
+		c.attempts, s.denied = append(c.attempts, a), append(s.denied, a)
+		return
+	}
 	allowed := !c.req.Rest.Spent() && s.mayRepeat(c)
 	c.attempts = append(c.attempts, a)
 	if !allowed {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -43,7 +43,7 @@
 	resting atomic.Bool  // it has had an answer and nothing came since
 	busy    bool         // a request has been taken and is not answered in full
 
-	mu     sync.Mutex // of ending, and of what it goes by: heard, resting and spoken
+	mu     sync.Mutex // of ending, and of what it goes by: heard, resting and spoken; and of where serving and extra meet
 	ending bool       // a read that waits is called off: the connection is to end
 	spoken bool       // something came since the latest answer began
 
@@ -217,7 +217,9 @@
 		if n, err = c.receive(buf[:]); n == 0 {
 			return err
 		}
-		c.follows(c.serving.Load())
+		if c.cameTooSoon() {
+			return c.awaitClose()
+		}
 		c.head = append(c.head, buf[:n]...)
 		end = framing.End(c.head)
 	}
@@ -267,6 +269,44 @@
 	}
 }
 
+// cameTooSoon notes that something was read, and reports whether it came behind a request
+// whose answer has not begun. The connection then ends with that answer.
+func (c *clientConn) cameTooSoon() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tooSoon := c.serving.Load() && !c.table.pipelining
+	if tooSoon {
+		c.extra.Store(true)
+	}
+	return tooSoon
+}
+
+var errSentTooMuch = errors.New("more was sent behind a request than is read")
+
+// awaitClose reads on, behind what came too soon, and drops it: the connection ends with
+// the answer, and that its client closes it before that is seen only by reading. It returns
+// why reading ended: io.EOF and errors of the connection tell that the client has left,
+// os.ErrDeadlineExceeded that the answer is over.
+func (c *clientConn) awaitClose() error {
+	buf := headBuffers.Get().(*[framing.MaxHead]byte)
+	defer headBuffers.Put(buf)
+	for dropped := 0; dropped < lingerBytes; {
+		n, err := c.TCPConn.Read(buf[:])
+		if err != nil {
+			return err
+		}
+		dropped += n
+	}
+	return errSentTooMuch
+}
+
+// Left reports whether the client has closed the connection, or it is broken, and nothing
+// waits to be read on it.
+func (c *clientConn) Left() bool {
+	_, closed := peek.Peek(c.TCPConn)
+	return closed
+}
+
 // crowded reports whether anything has come behind the request being served:
 // its sender sends one request at a time, so what is there belongs to that one
 // and its end is not where it says, or it is a request that was to be hidden.
@@ -279,8 +319,11 @@
 // next request. It reports whether the connection is to end with this answer:
 // because something came too soon, or to make room.
 func (c *clientConn) answering() (last bool) {
+	c.mu.Lock()
 	c.serving.Store(false)
-	return c.extra.Load() || c.table.packed(c)
+	last = c.extra.Load()
+	c.mu.Unlock()
+	return last || c.table.packed(c)
 }
 
 // readable reports whether something waits to be read from the socket.
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -41,7 +41,7 @@
 		return
 	}
 	x, refused := in.core.Open(&core.Head{
-		Method: r.Method, Target: target.Origin(r.RequestURI), Host: r.Host, Header: r.Header, Length: r.ContentLength,
+		Method: r.Method, Target: target.Origin(r.RequestURI), Host: r.Host, Header: r.Header, Length: r.ContentLength, Client: conn,
 	})
 	rc := http.NewResponseController(w)
 	if refused != nil {
@@ -69,9 +69,9 @@
 	switch {
 	case conn.crowded():
 		x.Drop(nil)
-		in.write(w, r, conn, &core.Answer{Status: http.StatusBadRequest, Reason: "something follows before the request was answered", Malformed: true})
+		in.write(w, r, conn, followsTooSoon())
 		return
-	case !conn.take():
+	case conn.Left(), !conn.take():
 		x.Drop(nil)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/front/http1/http1_test.go
+++ b/internal/front/http1/http1_test.go
@@ -79,6 +79,25 @@
 
 // startWith is start with settings of the server's own.
 func startWith(t testing.TB, config Config, change func(c *core.ServiceConfig), endpoints ...string) *Server {
+	t.Helper()
+	s := listening(t, config, change, endpoints...)
+	t.Cleanup(serve(s))
+	return s
+}
+
+// serve has a server take requests until the function that it returns has stopped it.
+func serve(s *Server) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx) }()
+	return sync.OnceFunc(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// listening is a server whose address is open and that takes nothing yet.
+func listening(t testing.TB, config Config, change func(c *core.ServiceConfig), endpoints ...string) *Server {
 	t.Helper()
 	const limit, crowd = 140, 40
 	c := core.ServiceConfig{
@@ -120,13 +139,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
 	return s
 }
 
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -33,14 +33,15 @@
 // net/http's server, with their connection, for good: it knows the rest of the protocol.
 type plain struct {
 	*clientConn
-	server *Server
-	raw    syscall.RawConn
-	look   func(fd uintptr) bool // read, made once
-	n      int                   // what read has read, and
-	err    error                 // why it could not
-	full   bool                  // it filled the buffer: there may be more
-	done   chan bool             // of the request that is served: whether its connection is kept
-	serves bool                  // there is one, as the reader knows
+	server  *Server
+	raw     syscall.RawConn
+	look    func(fd uintptr) bool // read, made once
+	n       int                   // what read has read, and
+	err     error                 // why it could not
+	full    bool                  // it filled the buffer: there may be more
+	done    chan bool             // of the request that is served: whether its connection is kept
+	serves  bool                  // there is one, as the reader knows
+	waiting job                   // a request that is handed to a worker once nothing is left to be read; its x is nil where there is none
 
 	// Guarded by clientConn.mu.
 	left bool           // the client has left
@@ -101,7 +102,13 @@
 			return end, nil
 		}
 		err := p.fill()
+		if p.waiting.x != nil && !p.begin(err) {
+			return 0, io.EOF
+		}
 		if p.serves {
+			if err == nil && p.extra.Load() {
+				err = p.awaitClose()
+			}
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 				p.leave()
 			}
@@ -119,6 +126,31 @@
 	}
 }
 
+// begin sees to a request that was not handed to a worker, since reading on, which comes
+// first, did not find the connection empty. It reports false where the request is not
+// served: its client has closed the connection by now, and what was begun for it would
+// begin later than that, or has sent more before it was answered.
+func (p *plain) begin(err error) bool {
+	j := p.waiting
+	p.waiting = job{}
+	if errors.Is(err, os.ErrDeadlineExceeded) { // nothing was read
+		p.server.workers.serve(j)
+		return true
+	}
+	p.serves = false
+	p.opens(nil)
+	j.x.Drop(nil)
+	if err == nil {
+		p.write(followsTooSoon(), true)
+	}
+	return false
+}
+
+// followsTooSoon answers a request behind which something came before it was answered.
+func followsTooSoon() *core.Answer {
+	return &core.Answer{Status: http.StatusBadRequest, Reason: "something follows before the request was answered", Malformed: true}
+}
+
 // leave tells whoever serves the request that its client has left.
 func (p *plain) leave() {
 	p.mu.Lock()
@@ -152,7 +184,7 @@
 func (p *plain) fill() error {
 	n, err := p.received(p.receiveHead)
 	if n > 0 {
-		p.follows(p.serving.Load())
+		p.cameTooSoon()
 		p.full = len(p.head)+n == cap(p.head)
 		p.head = p.head[:len(p.head)+n]
 		return nil
@@ -173,7 +205,8 @@
 }
 
 // read reads what waits on the socket; it reports false if that is nothing. A connection
-// that waits holds no buffer.
+// that waits holds no buffer. A request that is ready is handed on only then: whether its
+// client has left meanwhile is known without another look.
 func (p *plain) read(fd uintptr) bool {
 	if p.pooled == nil {
 		p.pooled = headBuffers.Get().(*[framing.MaxHead]byte)
@@ -192,6 +225,11 @@
 	if len(p.head) == 0 {
 		p.dropHead()
 	}
+	if p.waiting.x != nil {
+		j := p.waiting
+		p.waiting = job{}
+		p.server.workers.serve(j)
+	}
 	return false
 }
 
@@ -216,7 +254,7 @@
 	}{body: plainBody{p: p, left: length, here: p.head[end:min(len(p.head), end+int(length))]}}
 	body := &one.body
 	p.follows(len(p.head) > end+int(length))
-	one.head = core.Head{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header, Length: length}
+	one.head = core.Head{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header, Length: length, Client: p.clientConn}
 	x, refused := p.server.core.Open(&one.head)
 	if refused != nil {
 		return p.refuse(refused, body, req.Close)
@@ -229,7 +267,7 @@
 	}
 	if p.extra.Load() || p.full && p.readable() {
 		x.Drop(nil)
-		return p.write(&core.Answer{Status: http.StatusBadRequest, Reason: "something follows before the request was answered", Malformed: true}, true)
+		return p.write(followsTooSoon(), true)
 	}
 	if !p.clientConn.take() {
 		x.Drop(nil)
@@ -241,7 +279,7 @@
 	}
 	p.serves = true
 	p.opens(x)
-	p.server.workers.serve(job{p, x, held, req.Close})
+	p.waiting = job{p, x, held, req.Close}
 	return true
 }
 
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -60,6 +60,77 @@
 	}
 }
 
+// A client that has sent more behind its request and leaves then has it called off as any
+// other, both where the request is plain and where it is read by net/http's server.
+func TestClientLeavesBehindMore(t *testing.T) {
+	chunked := strings.Replace(report("leaves", ""), "Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 0", 1)
+	for name, text := range map[string]string{"plain": tile("leaves"), "not plain": chunked} {
+		t.Run(name, func(t *testing.T) {
+			begun, ended := make(chan bool), make(chan bool)
+			s := start(t, nil, listenEndpoint(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					begun <- true
+					io.Copy(io.Discard, r)
+					ended <- true
+				}
+			}))
+			c := dial(t, s)
+			io.WriteString(c, text)
+			<-begun
+			io.WriteString(c, tile("hidden")+tile("too"))
+			for conn := held(s); !conn.extra.Load(); {
+				conn.readable() // until the first of it has been read
+			}
+			left := time.Now()
+			c.Close()
+			<-ended
+			if took := time.Since(left); took > requestPatience { // its deadline would do it after 7 s
+				t.Errorf("called off after %v", took)
+			}
+		})
+	}
+}
+
+// A client that has closed its connection by the time its request is read is gone: nothing
+// is sent on for it, however long the request has waited to be read.
+func TestClosedBeforeRead(t *testing.T) {
+	for name, text := range map[string]func(id string) string{
+		"plain":     tile,
+		"with body": func(id string) string { return report(id, "12345") },
+		"not plain": func(id string) string {
+			return strings.Replace(report(id, ""), "Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 0", 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen := make(chan string, 64)
+			s := listening(t, Config{}, nil, listenEndpoint(t, echo(func(r *http.Request) { seen <- r.Header.Get("Req-Id") })))
+			for i := range 20 {
+				c := dial(t, s)
+				if _, err := io.WriteString(c, text(fmt.Sprint("gone-", i))); err != nil {
+					t.Fatal(err)
+				}
+				c.Close()
+			}
+			stays := dial(t, s)
+			if _, err := io.WriteString(stays, text("stays")); err != nil {
+				t.Fatal(err)
+			}
+			stop := serve(s)
+			if status, body := read(t, stays); status != 200 || body != "stays" {
+				t.Errorf("who stays is answered %d %q", status, body)
+			}
+			stays.Close()
+			stop()
+			close(seen)
+			for id := range seen {
+				if id != "stays" {
+					t.Errorf("%s was sent on", id)
+				}
+			}
+		})
+	}
+}
+
 // What follows a request that is being served ends the connection with its answer, and
 // goes nowhere.
 func TestFollowsTooSoon(t *testing.T) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -234,7 +234,7 @@
 	for {
 		c, err := p.connect(t, e)
 		if err != nil {
-			if ownWant(err) {
+			if ownWant(err) || errors.Is(t.end.Cause(), ErrCalledOff) {
 				return Answer{Result: policy.NotSent}, nil // that is not the endpoint's doing
 			}
 			return Answer{Result: policy.NoConnection}, nil
@@ -368,7 +368,7 @@
 // failure tells what an attempt without an answer is by the protocol's table.
 func failure(cause error, sent bool) policy.Result {
 	switch {
-	case errors.Is(cause, errSource):
+	case errors.Is(cause, errSource), !sent && errors.Is(cause, ErrCalledOff):
 		return policy.NotSent // that is not the endpoint's doing
 	case !sent:
 		return policy.NoConnection
--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -36,6 +36,20 @@
 	}
 }
 
+// EndUnsent ends it where nothing is to be done at the end, as before the attempt has a
+// connection: nothing of it has been sent then.
+func (e *Ending) EndUnsent(cause error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cause != nil || e.at != nil {
+		return
+	}
+	e.cause = cause
+	if e.done != nil {
+		close(e.done)
+	}
+}
+
 // At sets what is done at the end, in place of what was set before. Where that has been,
 // it is done at once.
 func (e *Ending) At(do func()) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -285,6 +285,30 @@
 	}
 }
 
+// What was called off before its last byte was sent never ran, and tells nothing of the
+// endpoint: its client has left, which is no failed connection.
+func TestCalledOffBeforeSent(t *testing.T) {
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
+	for name, end := range map[string]func(e *Ending){
+		"ended":                 func(e *Ending) { e.End(ErrCalledOff) },
+		"ended before anything": func(e *Ending) { e.EndUnsent(ErrCalledOff) },
+	} {
+		p, e := newTestPool(4, 300<<10), new(Ending)
+		end(e)
+		if a := p.Do(e, Endpoint{"s", addr}, request("1"), long, nil); a.Result != policy.NotSent || p.Open() != 0 {
+			t.Errorf("%s: result %v, %d connections open", name, a.Result, p.Open())
+		}
+	}
+	if got := failure(ErrCalledOff, false); got != policy.NotSent {
+		t.Errorf("called off while it was written: %v", got)
+	}
+	e := new(Ending)
+	e.At(func() { t.Error("an attempt that has its connection was ended as if nothing were sent") })
+	if e.EndUnsent(ErrCalledOff); e.Cause() != nil {
+		t.Errorf("ended by %v", e.Cause())
+	}
+}
+
 // A long answer that begins in the instant in which the attempt ends is not begun
 // at the client: it would get a head, and nothing after it.
 func TestLongAnswerAtTheEnd(t *testing.T) {
