core, upstream, discovery: what came during a standstill is read before it is judged

What is there as a rest ends is read first, also where a stop calls the connection off. - discovery.go call: a call counted as silent before its answer was read; what it told counts as told, and was asked for again only by the backoff. Requests whose time is over are answered at once as before.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,6 +153,74 @@
 	}
 }
 
+// The process stands still, and its alarm goes off first: what the module judges by time
+// waits until the ends of attempts have been seen, once and not again and again.
+func TestTimersAfterAStandstill(t *testing.T) {
+	for name, again := range map[string]bool{"once": false, "and once more": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, s := alone(t)
+				var asked atomic.Int32
+				s.OnSubscribe(func() { asked.Add(1) })
+				set := s.settled.policy
+				set.OnRequest, set.AskWithin = true, 10*time.Second
+				if err := s.balancer.Retune(set); err != nil {
+					t.Fatal(err)
+				}
+				s.DiscoveryFailed() // the next call is planned some seconds later
+				standStill := func() {
+					s.mu.Lock()
+					s.start = s.start.Add(-time.Hour)
+					s.mu.Unlock()
+					s.timersDue()
+				}
+				if standStill(); asked.Load() != 0 {
+					t.Error("the module is told of its timers before anything that waits is read")
+				}
+				if again {
+					standStill()
+				} else {
+					<-time.After(readAfterStill + 2*timerTick)
+				}
+				if asked.Load() != 1 {
+					t.Errorf("the module was told %d times of its timer", asked.Load())
+				}
+				s.timers.alarm.Stop()
+			})
+		})
+	}
+}
+
+// A request whose time ends while the process stands still is answered as soon as that
+// goes on.
+func TestAnsweredAfterAStandstill(t *testing.T) {
+	const connect = 10 * time.Minute
+	slots := budget.New(1).Join(1, nil)
+	c, s := aloneWith(t, slots, connect)
+	if !slots.TryAcquire(1) { // the attempt waits for the one place there is
+		t.Fatal("the place is taken")
+	}
+	x := open(t, c, "1")
+	x.request.Left = connect
+	answered := make(chan Answer)
+	go func() {
+		a, _ := x.Do(context.Background(), nil)
+		answered <- a
+	}()
+	for taken := false; !taken; runtime.Gosched() {
+		s.mu.Lock()
+		taken = x.call != nil && len(x.call.attempts) == 1
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	s.start = s.start.Add(-time.Hour)
+	s.mu.Unlock()
+	s.timersDue()
+	if a := <-answered; a.Status != http.StatusGatewayTimeout {
+		t.Errorf("answered %d", a.Status)
+	}
+}
+
 // Four hours of requests, one a second, each with attempts that fail, leave no call, no
 // timer and no room behind, and the wheel has no more places than timers were set at once.
 func TestSoakOfRequests(t *testing.T) {
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -13,6 +13,14 @@
 // timerTick is how exactly the module's timers go off: at most so much late.
 const timerTick = time.Millisecond
 
+const (
+	// stoodStill is how late the alarm goes off where the process had no processor, or none
+	// of its machine's: the ends of attempts wait to be seen then.
+	stoodStill = 50 * time.Millisecond
+	// readAfterStill is the time that seeing them may take.
+	readAfterStill = 20 * time.Millisecond
+)
+
 // timers are those that the module has set, on one timer of the system's. Most are of
 // requests that are answered long before, and cost no more than their place on a wheel. It
 // is guarded by the service's mutex.
@@ -21,6 +29,7 @@
 	alarm *time.Timer    // nil: none was needed yet
 	armed time.Duration  // since the service's start, when it goes off; 0: it does not
 	due   []policy.Token // scratch
+	again bool           // what is due was put off once, and is not again
 }
 
 // setTimer sets one; c, which may be nil, takes it back when nothing is left of it.
@@ -52,7 +61,8 @@
 }
 
 // timersDue tells the module of what is due. What is late by this sidecar's own doing is
-// not late yet, and waits.
+// not late yet, and waits: also where the whole process stood still, and answers that came
+// in time have not been read. Requests whose time is over are answered at once.
 func (s *Service) timersDue() {
 	if own := s.own(); own > time.Millisecond {
 		time.Sleep(min(ownWaits*own, longestPutOff))
@@ -61,15 +71,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.arm() // also after a panic: the others' timers go on
-	t := &s.timers
-	t.armed, t.due = 0, t.due[:0]
-	t.queue.Advance(time.Since(s.start), func(k policy.Token) { t.due = append(t.due, k) })
+	t, now := &s.timers, time.Since(s.start)
+	late := t.armed > 0 && now-t.armed >= stoodStill && !t.again
+	t.armed, t.due, t.again = 0, t.due[:0], late
+	t.queue.Advance(now, func(k policy.Token) { t.due = append(t.due, k) })
 	for _, k := range t.due { // first: what follows may panic
 		if k.Purpose == guarded {
 			s.unanswered(s.calls[k.Request])
 		}
 	}
 	for _, k := range t.due {
+		if late && k.Purpose != guarded {
+			t.queue.Add(now+readAfterStill, k)
+			continue
+		}
 		s.tell(func(b *policy.Balancer, now time.Duration) []policy.Action { return b.Timer(now, k) })
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -183,8 +183,8 @@
 func (c *Client) call(ctx context.Context, url string, patience time.Duration, early func([]Entry)) (List, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(patience, func() { cancel(errors.New("discovery is silent")) })
-	defer silence.Stop()
+	silence := newSilence(patience, func() { cancel(errSilent) })
+	defer silence.stop()
 
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -198,8 +198,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return List{}, fmt.Errorf("discovery answered %d", resp.StatusCode)
 	}
-	silence.Reset(pieceGap)
-	list, err := collect(progress{io.LimitReader(resp.Body, maxAnswer), func() { silence.Reset(pieceGap) }}, early)
+	silence.allow(pieceGap)
+	list, err := collect(progress{io.LimitReader(resp.Body, maxAnswer), func() { silence.allow(pieceGap) }}, early)
 	return list, cause(ctx, err)
 }
 
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -13,6 +13,40 @@
 	"time"
 )
 
+// The process stands still for longer than a call may be silent, and the timer goes off
+// before the answer that came meanwhile is read: the call goes on, and is ended only when
+// nothing is there either.
+func TestSilenceAfterAStandstill(t *testing.T) {
+	for name, c := range map[string]struct {
+		late  time.Duration // that the timer goes off
+		comes bool          // an answer waits
+		after time.Duration // that the call is ended
+	}{
+		"an answer waits":  {3 * time.Second, true, pieceGap},
+		"nothing waits":    {3 * time.Second, false, readAfterStill},
+		"it did not stand": {stoodStill - 1, false, 0},
+		"something came":   {-time.Hour, false, time.Hour}, // as the timer went off
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now, ended := time.Now(), make(chan time.Time, 1)
+				s := newSilence(time.Hour, func() { ended <- time.Now() })
+				defer s.stop()
+				s.mu.Lock()
+				s.due = now.Add(-c.late)
+				s.mu.Unlock()
+				s.ring()
+				if c.comes {
+					s.allow(pieceGap)
+				}
+				if took := (<-ended).Sub(now); took != c.after {
+					t.Errorf("ended after %v, want %v", took, c.after)
+				}
+			})
+		})
+	}
+}
+
 // agent is a registry in virtual time, over pipes. While it is silent it takes calls and
 // answers none of them, also later: a watch that has fallen silent is broken.
 type agent struct {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -80,10 +80,11 @@
 }
 
 // received reads, and once more what waits on the connection where reading ended since
-// the process slept.
+// the process slept, or as a connection that rested was to end: closed over a request that
+// waits it would be reset.
 func (c *clientConn) received(read func() (int, error)) (int, error) {
 	n, err := read()
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.overslept() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.overslept() || c.resting.Load() && c.readable()) {
 		n, err = c.readWaiting(read)
 	}
 	if n > 0 {
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"spokegw/internal/front"
 )
 
 // A request may come in pieces, split anywhere, and is served all the same.
@@ -131,6 +136,52 @@
 	}
 }
 
+// A request that is there as its connection is to end, since it has rested for long enough
+// or is called off, is read: closing over it would reset the connection.
+func TestRequestAsARestEnds(t *testing.T) {
+	for name, end := range map[string]func(c *clientConn){
+		"it has rested": func(c *clientConn) { c.SetReadDeadline(front.At(front.Now() - time.Millisecond)) },
+		"called off":    func(c *clientConn) { c.callOff() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			client, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			nc, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			c := newConnTable(1, 1).add(nc.(*net.TCPConn))
+			c.heard.Store(true)
+			c.resting.Store(true)
+			io.WriteString(client, tile("one"))
+			for !c.readable() {
+				runtime.Gosched()
+			}
+			end(c)
+			buf := make([]byte, 4096)
+			n, err := c.receive(buf)
+			if string(buf[:n]) != tile("one") || err != nil {
+				t.Errorf("read %q, %v", buf[:n], err)
+			}
+			if c.ending {
+				t.Error("the connection is to end still")
+			}
+			if n, err := c.receive(buf); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("nothing more waits: read %d bytes, %v", n, err)
+			}
+		})
+	}
+}
+
 // What follows a request that is being served ends the connection with its answer, and
 // goes nowhere.
 func TestFollowsTooSoon(t *testing.T) {
--- a/internal/upstream/clock.go
+++ b/internal/upstream/clock.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+const (
+	// stoodStill is how late a timer goes off where the process had no processor, or none
+	// of its machine's: what came meanwhile waits to be read.
+	stoodStill = 50 * time.Millisecond
+	// readAfterStill is the time that reading it may take.
+	readAfterStill = 50 * time.Millisecond
+)
+
 // clock ends an attempt whose time is up, or whose answer has begun and stops. There is
 // one a connection, with one timer of the system's for all its attempts. The timer may go
 // off for nothing: what puts a time off does not set it anew, and that of an attempt that
@@ -42,7 +50,8 @@
 	k.armed = at
 }
 
-// ring ends the attempt if it is to end by now.
+// ring ends the attempt if it is to end by now. An answer that has begun may have gone on
+// while the process stood still: whether it stopped is known once what waits has been read.
 func (k *clock) ring() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -53,9 +62,16 @@
 	if !k.pause.IsZero() && (next.IsZero() || k.pause.Before(next)) {
 		next, cause = k.pause, errStopped
 	}
+	now := time.Now()
+	if cause == errStopped && now.Sub(next) >= stoodStill {
+		k.pause = now.Add(readAfterStill)
+		if next = k.pause; !k.deadline.IsZero() && k.deadline.Before(next) {
+			next, cause = k.deadline, errTimedOut
+		}
+	}
 	switch {
 	case next.IsZero():
-	case next.After(time.Now()):
+	case next.After(now):
 		k.armed = time.Time{} // it has gone off
 		k.arm(next)
 	default:
--- a/internal/upstream/clock_test.go
+++ b/internal/upstream/clock_test.go
@@ -6,6 +6,48 @@
 	"time"
 )
 
+// The process stands still while an answer is under way, and its timer goes off before what
+// came meanwhile is read: the answer has not stopped by that. With nothing there it has.
+func TestClockAfterAStandstill(t *testing.T) {
+	for name, c := range map[string]struct {
+		late, left time.Duration // of the pause, when the timer goes off; of the attempt's time
+		moves      bool          // more of the answer waits
+		after      time.Duration // that the attempt ends
+		cause      error
+	}{
+		"more waits":          {2 * time.Second, 10 * time.Second, true, answerPatience, errStopped},
+		"nothing waits":       {2 * time.Second, 10 * time.Second, false, readAfterStill, errStopped},
+		"little time is left": {2 * time.Second, readAfterStill / 2, false, readAfterStill / 2, errTimedOut},
+		"no time is left":     {2 * time.Second, -time.Second, false, 0, errTimedOut},
+		"it did not stand":    {stoodStill - 1, 10 * time.Second, true, 0, errStopped},
+		"it was passed on":    {2 * time.Second, 0, true, answerPatience, errStopped},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				end, now := new(Ending), time.Now()
+				k := &clock{}
+				defer k.close()
+				k.start(end, now.Add(time.Hour))
+				k.begin()
+				k.mu.Lock()
+				k.pause, k.deadline = now.Add(-c.late), now.Add(c.left)
+				if c.left == 0 {
+					k.deadline = time.Time{}
+				}
+				k.mu.Unlock()
+				k.ring()
+				if c.moves && c.after > 0 {
+					k.moved()
+				}
+				<-end.Done()
+				if took := time.Since(now); end.Cause() != c.cause || took != c.after {
+					t.Errorf("ended after %v by %v, want %v and %v", took, end.Cause(), c.after, c.cause)
+				}
+			})
+		})
+	}
+}
+
 // An attempt ends when its time is up, or its answer has begun and nothing more comes for
 // answerPatience, whichever is first, and at no other time; the next one on the connection
 // is not ended by what was set for the one before.
