--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -123,8 +123,12 @@
 	return nil
 }
 
-// sockets is a part of the descriptors.
-func (l Limits) sockets(part float64) int64 { return int64(part * float64(l.Sockets)) }
+// sockets is a part of the descriptors. Of few of them the sidecar's own are taken first:
+// with every client and endpoint there is, discovery would have none left.
+func (l Limits) sockets(part float64) int64 {
+	shared := float64(l.Sockets-ownSockets) / (clientPart + upstreamPart)
+	return int64(part * min(float64(l.Sockets), shared))
+}
 
 // contents is what a configuration is decoded into.
 type contents struct {
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -8,6 +8,21 @@
 	"spokegw/internal/fault"
 )
 
+// Clients and endpoints never take what the sidecar needs for itself, however few
+// descriptors there are, and have their whole parts where there are enough.
+func TestDescriptorsAreLeft(t *testing.T) {
+	for n := minSockets; n <= 4096; n++ {
+		l := Limits{Sockets: n}
+		clients, endpoints := l.sockets(clientPart), l.sockets(upstreamPart)
+		if clients < 1 || endpoints < 1 || clients+endpoints+ownSockets > int64(n) {
+			t.Fatalf("of %d descriptors clients have %d and endpoints %d", n, clients, endpoints)
+		}
+		if n >= 256 && (clients != int64(clientPart*float64(n)) || endpoints != int64(upstreamPart*float64(n))) {
+			t.Fatalf("of %d descriptors clients have %d and endpoints %d", n, clients, endpoints)
+		}
+	}
+}
+
 // Whatever a configuration holds, it is taken or refused with a place and a
 // reason for each fault, and never ends in a panic.
 func FuzzConfig(f *testing.F) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,7 +34,10 @@
 	clientPart   = 0.55
 	crowdPart    = 0.16 // half of what the application may hold for requests
 	upstreamPart = 0.37
-	minSockets   = 32
+	// ownSockets are for what is left, at least: a dozen of the runtime, the log and the
+	// listeners, four for discovery as it moves, and four for operators who ask.
+	ownSockets = 20
+	minSockets = 32
 )
 
 // How the memory is shared out. The part that the collector keeps below
