--- /dev/null
+++ b/bench/knownred/main_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	startA = `{"Action":"output","Package":"p","Test":"TestA","Output":"=== RUN   TestA\n"}` + "\n"
+	passA  = startA + `{"Action":"pass","Package":"p","Test":"TestA"}` + "\n"
+	failA  = startA + `{"Action":"output","Package":"p","Test":"TestA","Output":"    a_test.go:7: why\n"}` + "\n" + `{"Action":"fail","Package":"p","Test":"TestA"}` + "\n"
+	subA   = `{"Action":"fail","Package":"p","Test":"TestA/one"}` + "\n" + `{"Action":"fail","Package":"p","Test":"TestA"}` + "\n"
+	passP  = `{"Action":"output","Package":"p","Output":"ok  \tp\t0.1s\n"}` + "\n" + `{"Action":"pass","Package":"p"}` + "\n"
+	failP  = `{"Action":"output","Package":"p","Output":"FAIL\tp\t0.1s\n"}` + "\n" + `{"Action":"fail","Package":"p"}` + "\n"
+	listA  = "p TestA: late by design (issue 7)\n"
+)
+
+func TestCheck(t *testing.T) {
+	for name, c := range map[string]struct {
+		list, events string
+		good         bool
+		tells        string
+	}{
+		"all pass":             {"", passA + passP, true, "ok  \tp"},
+		"a test fails":         {"", failA + failP, false, "FAILED: p TestA"},
+		"its output is shown":  {"", failA + failP, false, "a_test.go:7: why"},
+		"known":                {listA, failA + failP, true, "known to fail: p TestA: late by design (issue 7)"},
+		"a subtest of a known": {listA, subA + failP, true, "known to fail: p TestA/one"},
+		"known and passes":     {listA, passA + passP, true, "to be taken off the list"},
+		"known and not there":  {"p TestB: x\n", passA + passP, false, "there is no test p TestB"},
+		"of another package":   {"q TestA: x\n", failA + failP, false, "FAILED: p TestA"},
+		"it panics":            {listA, startA + failP, false, "p failed outside its tests"},
+		"it did not end":       {"", passP + startA, false, "p TestA did not end"},
+		"it is not built":      {"", passP + `{"ImportPath":"q","Action":"build-output","Output":"q.go:1: bad\n"}` + "\n" + `{"ImportPath":"q","Action":"build-fail"}` + "\n", false, "q.go:1: bad"},
+		"nothing ran":          {"", "", false, ""},
+		"three":                {listA + listA + listA, failA + failP, true, ""},
+		"four":                 {listA + listA + listA + listA, failA + failP, false, ""},
+		"a line with no cause": {"p TestA\n", failA + failP, false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "list")
+			if c.list != "" {
+				if err := os.WriteFile(path, []byte(c.list), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			var out strings.Builder
+			err := check(path, strings.NewReader(c.events), &out)
+			if (err == nil) != c.good || !strings.Contains(out.String(), c.tells) {
+				t.Errorf("%v, and told:\n%s", err, out.String())
+			}
+		})
+	}
+}
--- a/bench/overload/main.go
+++ b/bench/overload/main.go
@@ -86,10 +86,10 @@
 	}
 	defer os.RemoveAll(dir)
 	backends, err := scene.StartBackends(4, lab.EndpointConfig{Workers: workers, Work: time.Millisecond, Body: 4 << 10})
-	defer backends.Close()
 	if err != nil {
 		return err
 	}
+	defer backends.Close()
 	listen, err := process.FreeAddr()
 	if err != nil {
 		return err
--- a/bench/upgrade/main.go
+++ b/bench/upgrade/main.go
@@ -74,10 +74,10 @@
 			total.doubled.Add(1)
 		}
 	}})
-	defer backends.Close()
 	if err != nil {
 		return err
 	}
+	defer backends.Close()
 	listen, err := process.FreeAddr()
 	if err != nil {
 		return err
--- a/internal/fleet/weights/estimate.go
+++ b/internal/fleet/weights/estimate.go
@@ -96,7 +96,6 @@
 	seen     bool
 	changes  int
 	windows  int
-	trace    string
 }
 
 // kind is what is known of one kind.
--- a/internal/front/http1/write.go
+++ b/internal/front/http1/write.go
@@ -33,7 +33,8 @@
 	last = p.answering() || last || a.Malformed
 	buf := answerBuffers.Get().(*[]byte)
 	defer answerBuffers.Put(buf)
-	body, chunked := a.Body, false
+	var body []byte
+	var chunked bool
 	*buf, body, chunked = appendHead((*buf)[:0], a, last, p.server.handler.altSvc.Load())
 	if s := a.Stream(); s != nil {
 		return p.stream(*buf, body, chunked, s) == nil && !last
--- a/internal/lab/scene/backends.go
+++ b/internal/lab/scene/backends.go
@@ -9,18 +9,22 @@
 	Registry  *lab.Registry
 }
 
-// StartBackends starts so many. They are to be closed, also after an error.
+// StartBackends starts so many; after an error none is left.
 func StartBackends(endpoints int, c lab.EndpointConfig) (b *Backends, err error) {
 	b = &Backends{}
 	for range endpoints {
 		e, err := lab.StartEndpoint(c)
 		if err != nil {
-			return b, err
+			b.Close()
+			return nil, err
 		}
 		b.Endpoints = append(b.Endpoints, e)
 	}
-	b.Registry, err = lab.StartRegistry(Entries(b.Endpoints...), nil)
-	return b, err
+	if b.Registry, err = lab.StartRegistry(Entries(b.Endpoints...), nil); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
 }
 
 // Close ends them all.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -71,7 +71,7 @@
 	case "json":
 		next = slog.NewJSONHandler(w, opts)
 	case "pretty":
-		next = tint.NewHandler(w, &tint.Options{Level: slog.LevelDebug, TimeFormat: time.StampMilli, ReplaceAttr: bounded})
+		next = tint.NewTextHandler(w, &tint.Options{Level: slog.LevelDebug, TimeFormat: time.StampMilli, ReplaceAttr: bounded})
 	default:
 		return nil, fmt.Errorf("the log is %s, not %.40q", strings.Join(Forms, ", "), form)
 	}
--- a/policy/many_discovery_test.go
+++ b/policy/many_discovery_test.go
@@ -25,7 +25,7 @@
 
 func manyAskDiscovery(t *testing.T, truth []Endpoint, after time.Duration, half []Endpoint) {
 	const outage, most = 20 * time.Second, 45 // calls in any second
-	const countsAsTold = 6 * time.Second            // after discovery can be reached a change counts as told
+	const countsAsTold = 6 * time.Second      // after discovery can be reached a change counts as told
 	m := &many{class: map[[2]int]int{}, attempts: map[[2]int]int{}}
 	calls, told := map[time.Duration]int{}, map[int]time.Duration{}
 	var carryOut func(i int, actions []Action)
