core, upstream: a keyed repeat is not written after its window, nor any attempt after its time

Reason: found in the review of what may run out under way. The module decides on a repeat within 0.85 of the window, but the attempt may then wait for a place, a connection (50 to 250 ms; windows of other customers are as short as 320 ms, 15% of which is 48 ms) or its goroutine, and was written whenever it had one: after the window the endpoint runs it a second time. attempt.go wrote whatever connect returned. It looks at the time first now, and what is too late never ran (NotSent); its connection is kept. Likewise an attempt's time was counted from when its goroutine began, so that the endpoint was told more than was left to the client by that delay: it counts from the decision now.

Tests, both failing without the look at the time: TestRepeatIsWrittenInItsWindow (sent again 1.0008 s after the first with a window of 1 s), TestTooLateToBeWritten. The core is every front's, so HTTP/3, moves and upgrades have it too.

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -39,22 +39,25 @@
 	}
 }
 
-// noteSent notes that an attempt of a call goes to an endpoint, and returns the note;
-// nil: it has no key.
-func (s *Service) noteSent(c *call, to *endpoint) *keyed.Note {
+// noteSent notes that an attempt of a call goes to an endpoint, and returns the note, nil
+// where it has no key, and by when a repeat has to be written; zero: it is none.
+func (s *Service) noteSent(c *call, to *endpoint) (note *keyed.Note, latest time.Time) {
 	if !c.keyed {
-		return nil
+		return nil, latest
 	}
 	now := s.now()
 	s.keys.Sent(now, c.key, &s.settled.places[c.class].rules, to.Endpoint, c.mask.Met(to.pools))
+	if by, repeat := s.keys.WriteBy(c.key); repeat {
+		latest = time.Now().Add(by - now)
+	}
 	n, ok := s.keys.NoteOf(now, c.key)
 	if !ok {
-		return nil
+		return nil, latest
 	}
 	if s.onKeyed != nil {
 		s.onKeyed(n)
 	}
-	return &n
+	return &n, latest
 }
 
 // OnDurable sets what has a keyed request on a disk before it is sent. It may wait;
@@ -62,19 +65,14 @@
 // request.
 func (s *Service) OnDurable(keep func(context.Context, keyed.Note) error) { s.durable = keep }
 
-// keepKey has a keyed request on the disk, where that is asked for, and returns what is
-// left of its time.
-func (s *Service) keepKey(ctx context.Context, n *keyed.Note, timeout time.Duration) (left time.Duration, err error) {
+// keepKey has a keyed request on the disk by a time, where that is asked for.
+func (s *Service) keepKey(ctx context.Context, n *keyed.Note, by time.Time) error {
 	if n == nil || s.durable == nil {
-		return timeout, nil
+		return nil
 	}
-	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
-	if err := s.durable(ctx, *n); err != nil {
-		return 0, err
-	}
-	return max(timeout-time.Since(begun), time.Millisecond), nil
+	return s.durable(ctx, *n)
 }
 
 // noteEnded notes the end of an attempt that was sent.
--- /dev/null
+++ b/internal/core/keyed_test.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"spokegw/internal/budget"
+	"spokegw/internal/discovery"
+	"spokegw/internal/figures"
+	"spokegw/internal/keyed"
+	"spokegw/internal/upstream"
+	"spokegw/policy"
+)
+
+// A keyed request is decided on again in its window, and the way to its endpoint takes
+// until that is over: it is not written there, where it would run a second time.
+func TestRepeatIsWrittenInItsWindow(t *testing.T) {
+	const window = time.Second
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := make(chan time.Time, 10)
+	go func() { // it runs each request and breaks the connection
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				got <- time.Now()
+			}
+			c.Close()
+		}
+	}()
+	s, err := NewService(ServiceConfig{
+		Kinds: []string{"std"}, Rooms: []Room{{Bodies: budget.New(1<<20).Join(1, nil)}}, Seed: 1, Figures: figures.New(),
+		Pool: upstream.NewPool(upstream.Shares{Slots: budget.New(4).Join(1, nil), Long: budget.New(1<<20).Join(1, nil)}, 10*time.Second, time.Minute),
+		Settings: Settings{Classes: []string{"order"}, Policy: policy.Settings{
+			FleetSize: 1, MaxAttempts: 3, Cancel: true, ConnIdle: time.Minute,
+			Classes: []policy.Class{{Aim: 10 * time.Second, Deadline: 20 * time.Second, Worth: 1, Effect: policy.Keyed, DedupWindow: window}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tries := 0
+	s.OnDurable(func(ctx context.Context, n keyed.Note) error {
+		if tries++; tries == 2 { // the way takes until the window is over
+			<-time.After(n.Window - n.Age)
+		}
+		return nil
+	})
+	s.List([]discovery.Entry{{ID: "s-0", Addr: l.Addr().String(), Kind: "std", State: "active", Weight: 1}}, true)
+	table, err := NewTable(false, Mount{Service: s, Classes: []Class{PlainClass("order", policy.Keyed)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, refused := New(table).Open(&Head{Method: "POST", Target: "/order", Host: "b",
+		Header: http.Header{"Req-Id": {"1"}, "Req-Deadline": {"20000m"}, "Idempotency-Key": {"k"}}})
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	a, err := x.Do(context.Background(), nil)
+	if err != nil || a.Status == http.StatusOK {
+		t.Errorf("answered %d, %v", a.Status, err)
+	}
+	if tries < 2 {
+		t.Fatalf("%d attempts were decided on", tries)
+	}
+	first := <-got
+	for len(got) > 0 {
+		if again := <-got; again.Sub(first) > window {
+			t.Errorf("it was sent again %v after the first time, the window is %v", again.Sub(first), window)
+		}
+	}
+}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -150,7 +150,8 @@
 	outcome  upstream.Answer // of one that the request's own goroutine has made
 	to       upstream.Endpoint
 	note     *keyed.Note
-	timeout  time.Duration
+	until    time.Time // given up then; told at its decision, since some time may pass before it is made
+	latest   time.Time // it is not written later; zero: whenever
 }
 
 // now is the module's clock: Unix time at the start and what has passed since.
@@ -358,13 +359,13 @@
 		if known.first == 0 {
 			known.first = s.now()
 		}
-		note = s.noteSent(c, known)
+		note, a.latest = s.noteSent(c, known)
 		c.trace.sending(a.n, known.name)
 		if c.trace != nil { // the arguments are allocated even where nobody looks on
 			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
 		}
 	}
-	a.to, a.note, a.timeout = e, note, to.Timeout
+	a.to, a.note, a.until = e, note, time.Now().Add(to.Timeout)
 	if c.here && c.next == nil {
 		c.next = a
 		return
@@ -393,12 +394,11 @@
 		}()
 	}()
 	defer logPanic("attempt")
-	left, err := s.keepKey(&a.end, a.note, a.timeout)
-	if err != nil {
+	if s.keepKey(&a.end, a.note, a.until) != nil {
 		result = upstream.Answer{Result: policy.NotSent} // nobody would know of it after a kill
 		return nil
 	}
-	result, more = s.pool.Begin(&a.end, a.to, c.req, left, a)
+	result, more = s.pool.Begin(&a.end, a.to, c.req, upstream.Times{Until: a.until, Latest: a.latest}, a)
 	return nil
 }
 
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -18,8 +18,13 @@
 // are some seconds' worth at the rates that come to a sidecar.
 const Most = 8192
 
-// margin is the part of a window that is left unused: a repeat has a way to go.
-const margin = 0.15
+const (
+	// margin is the part of a window that is left unused by who decides on a repeat: it has
+	// a way to go, and maybe a connection to wait for.
+	margin = 0.15
+	// writeMargin is the part left unused by who writes it: the network is left.
+	writeMargin = 0.05
+)
 
 // entry is a key whose effect may have run.
 type entry struct {
@@ -92,6 +97,17 @@
 	t.entries.At(h).out++
 }
 
+// WriteBy tells by when an attempt of a key that was just noted as sent has to be written,
+// so that its endpoint drops it as a repeat; ok is false where it is none.
+func (t *Table) WriteBy(key uint64) (latest time.Duration, ok bool) {
+	h := t.entries.Find(key)
+	if h == compact.None {
+		return 0, false
+	}
+	e := t.entries.At(h)
+	return e.sent + time.Duration(float64(e.window)*(1-writeMargin)), e.ran || e.out > 1
+}
+
 // Ended notes the end of an attempt that was sent. neverRan tells that it is
 // proved not to have run.
 func (t *Table) Ended(key uint64, neverRan bool) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -143,7 +143,7 @@
 	if stream != nil {
 		taker = takes(stream)
 	}
-	a, more := p.Begin(end, e, req, timeout, taker)
+	a, more := p.Begin(end, e, req, Times{Until: time.Now().Add(timeout)}, taker)
 	if more != nil {
 		return more()
 	}
@@ -157,15 +157,25 @@
 
 func (take takes) Take(long Answer) bool { return take(long) }
 
+// Times bound an attempt.
+type Times struct {
+	Until  time.Time // it is given up then
+	Latest time.Time // it is not written later: its endpoint would not know it for a repeat; zero: whenever
+}
+
+// over reports whether nothing may be written any more.
+func (t *Times) over(now time.Time) bool {
+	return !now.Before(t.Until) || !t.Latest.IsZero() && !now.Before(t.Latest)
+}
+
 // Begin makes an attempt on the endpoint and waits for its end: an answer that is
 // whole, a failure, the time-out, or that end is ended. It is this attempt's alone, and ended in any
 // case once the attempt is over. A long answer is given to
 // stream as it begins, which returns whether it is wanted. Where it is, the attempt goes on until
 // that has been closed: more waits for that and returns how the attempt ended. It is to be called
 // once, and is nil otherwise. Without stream long answers are failures.
-func (p *Pool) Begin(end *Ending, e Endpoint, req *Request, timeout time.Duration, stream Taker) (a Answer, more func() Answer) {
-	t := &try{start: time.Now(), stream: stream, req: req, end: end}
-	t.deadline = t.start.Add(timeout)
+func (p *Pool) Begin(end *Ending, e Endpoint, req *Request, times Times, stream Taker) (a Answer, more func() Answer) {
+	t := &try{start: time.Now(), stream: stream, req: req, end: end, times: times, deadline: times.Until}
 	over := false
 	defer func() { // also where it panics
 		if !over {
@@ -201,6 +211,7 @@
 	stream   Taker
 	end      *Ending
 	start    time.Time
+	times    Times
 	deadline time.Time
 	clock    *clock // of the connection that it is on
 	write    write  // of a short request
@@ -239,6 +250,10 @@
 			}
 			return Answer{Result: policy.NoConnection}, nil
 		}
+		if t.times.over(time.Now()) {
+			p.put(c)
+			return Answer{Result: policy.NotSent}, nil
+		}
 		pooled := !c.rested.IsZero()
 		t.dialled = !pooled
 		a, unsent, passing := p.exchange(t, c)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -285,6 +285,52 @@
 	}
 }
 
+// An attempt that gets its connection too late is not written: its time is over, or its
+// endpoint would not know it for a repeat any more. It never ran, and its connection is kept.
+func TestTooLateToBeWritten(t *testing.T) {
+	got := make(chan string, 10)
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			got <- req.Header.Get("Req-Id")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	now := time.Now()
+	for name, c := range map[string]struct {
+		times Times
+		kept  bool // there is a connection
+		want  policy.Result
+	}{
+		"the window is over":                       {Times{now.Add(time.Hour), now}, false, policy.NotSent},
+		"the window is over, on a kept connection": {Times{now.Add(time.Hour), now}, true, policy.NotSent},
+		"its time is over, on a kept connection":   {Times{now, time.Time{}}, true, policy.NotSent},
+		"neither is over":                          {Times{now.Add(time.Hour), now.Add(time.Hour)}, false, policy.Served},
+	} {
+		p := newTestPool(4, 300<<10)
+		p.settle = 0
+		if c.kept {
+			if a := p.Do(new(Ending), Endpoint{"s", addr}, request("before"), long, nil); a.Result != policy.Served {
+				t.Fatal(a.Result)
+			}
+			<-got
+		}
+		a, _ := p.Begin(new(Ending), Endpoint{"s", addr}, request("1"), c.times, nil)
+		if a.Result != c.want || p.Open() != 1 {
+			t.Errorf("%s: %v with %d connections open, %v and one are expected", name, a.Result, p.Open(), c.want)
+		}
+		if c.want != policy.Served && len(got) > 0 {
+			t.Errorf("%s: the endpoint got %s", name, <-got)
+		} else if c.want == policy.Served {
+			<-got
+		}
+		p.Close()
+	}
+}
+
 // What was called off before its last byte was sent never ran, and tells nothing of the
 // endpoint: its client has left, which is no failed connection.
 func TestCalledOffBeforeSent(t *testing.T) {
