stall: one package tells a stall, in place of four thresholds; bubbled tests keep their channels

Reason: core, upstream, discovery and the HTTP/1.1 front each had the same 50 ms by which a late timer tells of a stall, under three names (stoodStill, oversleep, overslept). internal/stall has it once, under the field's word. No behaviour changes.

Also mended, a fault of the tests since: TestSoakOfRequests left channels of its virtual time in the pool of answer channels, and TestRepeatIsWrittenInItsWindow, which runs after it, could get one and end the package's tests (seen once in two runs under the race detector).

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -153,12 +153,12 @@
 	}
 }
 
-// The process stands still, and its alarm goes off first: what the module judges by time
+// The process stalls, and its alarm goes off first: what the module judges by time
 // waits until the ends of attempts have been seen, once and not again and again.
-func TestTimersAfterAStandstill(t *testing.T) {
+func TestTimersAfterAStall(t *testing.T) {
 	for name, again := range map[string]bool{"once": false, "and once more": true} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
 				_, s := alone(t)
 				var asked atomic.Int32
 				s.OnSubscribe(func() { asked.Add(1) })
@@ -168,19 +168,19 @@
 					t.Fatal(err)
 				}
 				s.DiscoveryFailed() // the next call is planned some seconds later
-				standStill := func() {
+				stallNow := func() {
 					s.mu.Lock()
 					s.start = s.start.Add(-time.Hour)
 					s.mu.Unlock()
 					s.timersDue()
 				}
-				if standStill(); asked.Load() != 0 {
+				if stallNow(); asked.Load() != 0 {
 					t.Error("the module is told of its timers before anything that waits is read")
 				}
 				if again {
-					standStill()
+					stallNow()
 				} else {
-					<-time.After(readAfterStill + 2*timerTick)
+					<-time.After(readAfterStall + 2*timerTick)
 				}
 				if asked.Load() != 1 {
 					t.Errorf("the module was told %d times of its timer", asked.Load())
@@ -191,9 +191,9 @@
 	}
 }
 
-// A request whose time ends while the process stands still is answered as soon as that
+// A request whose time ends while the process is stalled is answered as soon as that
 // goes on.
-func TestAnsweredAfterAStandstill(t *testing.T) {
+func TestAnsweredAfterAStall(t *testing.T) {
 	const connect = 10 * time.Minute
 	slots := budget.New(1).Join(1, nil)
 	c, s := aloneWith(t, slots, connect)
@@ -221,10 +221,21 @@
 	}
 }
 
+// inBubble runs a test in virtual time, with channels for answers of its own: those that
+// are kept for the next request may not pass from such a test to others.
+func inBubble(t *testing.T, test func(t *testing.T)) {
+	before := answers
+	defer func() { answers = before }()
+	synctest.Test(t, func(t *testing.T) {
+		answers = newAnswers()
+		test(t)
+	})
+}
+
 // Four hours of requests, one a second, each with attempts that fail, leave no call, no
 // timer and no room behind, and the wheel has no more places than timers were set at once.
 func TestSoakOfRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		c, s := alone(t)
 		for i := range 4 * 3600 {
 			x := open(t, c, strconv.Itoa(i))
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -244,7 +244,9 @@
 }
 
 // answers are what answers are handed over by. Each carries one and is used again then.
-var answers = sync.Pool{New: func() any { return make(chan Answer, 1) }}
+var answers = newAnswers()
+
+func newAnswers() *sync.Pool { return &sync.Pool{New: func() any { return make(chan Answer, 1) }} }
 
 // request tells the module of a request, and makes the attempts that are the caller's to
 // make. The caller then waits on the answer.
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"spokegw/internal/stall"
 	"spokegw/internal/upstream"
 	"spokegw/internal/wheel"
 	"spokegw/policy"
@@ -13,13 +14,9 @@
 // timerTick is how exactly the module's timers go off: at most so much late.
 const timerTick = time.Millisecond
 
-const (
-	// stoodStill is how late the alarm goes off where the process had no processor, or none
-	// of its machine's: the ends of attempts wait to be seen then.
-	stoodStill = 50 * time.Millisecond
-	// readAfterStill is the time that seeing them may take.
-	readAfterStill = 20 * time.Millisecond
-)
+// readAfterStall is the time that the ends of attempts which came during a stall may take
+// to be seen.
+const readAfterStall = 20 * time.Millisecond
 
 // timers are those that the module has set, on one timer of the system's. Most are of
 // requests that are answered long before, and cost no more than their place on a wheel. It
@@ -61,7 +58,7 @@
 }
 
 // timersDue tells the module of what is due. What is late by this sidecar's own doing is
-// not late yet, and waits: also where the whole process stood still, and answers that came
+// not late yet, and waits: also where the whole process stalled, and answers that came
 // in time have not been read. Requests whose time is over are answered at once.
 func (s *Service) timersDue() {
 	if own := s.own(); own > time.Millisecond {
@@ -72,7 +69,7 @@
 	defer s.mu.Unlock()
 	defer s.arm() // also after a panic: the others' timers go on
 	t, now := &s.timers, time.Since(s.start)
-	late := t.armed > 0 && now-t.armed >= stoodStill && !t.again
+	late := t.armed > 0 && stall.Detected(now-t.armed) && !t.again
 	t.armed, t.due, t.again = 0, t.due[:0], late
 	t.queue.Advance(now, func(k policy.Token) { t.due = append(t.due, k) })
 	for _, k := range t.due { // first: what follows may panic
@@ -82,7 +79,7 @@
 	}
 	for _, k := range t.due {
 		if late && k.Purpose != guarded {
-			t.queue.Add(now+readAfterStill, k)
+			t.queue.Add(now+readAfterStall, k)
 			continue
 		}
 		s.tell(func(b *policy.Balancer, now time.Duration) []policy.Action { return b.Timer(now, k) })
--- a/internal/discovery/silence.go
+++ b/internal/discovery/silence.go
@@ -4,18 +4,15 @@
 	"errors"
 	"sync"
 	"time"
+
+	"spokegw/internal/stall"
 )
 
 var errSilent = errors.New("discovery is silent")
 
-const (
-	// stoodStill is how late a timer goes off where the process had no processor, or none
-	// of its machine's: what came meanwhile waits to be read.
-	stoodStill = 50 * time.Millisecond
-	// readAfterStill is the time that reading it may take. What discovery has written counts
-	// as told, also where this process could not read it.
-	readAfterStill = 100 * time.Millisecond
-)
+// readAfterStall is the time that reading what came during a stall may take. What discovery
+// has written counts as told, also where this process could not read it.
+const readAfterStall = 100 * time.Millisecond
 
 // silence ends a call on which nothing has come for as long as it may.
 type silence struct {
@@ -48,16 +45,17 @@
 
 func (s *silence) stop() { s.timer.Stop() }
 
-// ring ends the call if nothing has come. After a standstill that is known only once what
+// ring ends the call if nothing has come. After a stall that is known only once what
 // waits has been read.
 func (s *silence) ring() {
 	s.mu.Lock()
 	late := time.Since(s.due)
-	if late >= stoodStill {
-		s.wait(readAfterStill)
+	stalled := stall.Detected(late)
+	if stalled {
+		s.wait(readAfterStall)
 	}
 	s.mu.Unlock()
-	if late >= 0 && late < stoodStill {
+	if late >= 0 && !stalled {
 		s.end()
 	}
 }
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -11,20 +11,22 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"spokegw/internal/stall"
 )
 
-// The process stands still for longer than a call may be silent, and the timer goes off
+// The process stalls for longer than a call may be silent, and the timer goes off
 // before the answer that came meanwhile is read: the call goes on, and is ended only when
 // nothing is there either.
-func TestSilenceAfterAStandstill(t *testing.T) {
+func TestSilenceAfterAStall(t *testing.T) {
 	for name, c := range map[string]struct {
 		late  time.Duration // that the timer goes off
 		comes bool          // an answer waits
 		after time.Duration // that the call is ended
 	}{
 		"an answer waits":  {3 * time.Second, true, pieceGap},
-		"nothing waits":    {3 * time.Second, false, readAfterStill},
-		"it did not stand": {stoodStill - 1, false, 0},
+		"nothing waits":    {3 * time.Second, false, readAfterStall},
+		"it did not stall": {stall.Threshold - 1, false, 0},
 		"something came":   {-time.Hour, false, time.Hour}, // as the timer went off
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -15,6 +15,7 @@
 	"spokegw/internal/framing"
 	"spokegw/internal/front"
 	"spokegw/internal/peek"
+	"spokegw/internal/stall"
 )
 
 // clientConn is one of the application's connections. Its Read hands a request
@@ -84,7 +85,7 @@
 // waits it would be reset.
 func (c *clientConn) received(read func() (int, error)) (int, error) {
 	n, err := read()
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.overslept() || c.resting.Load() && c.readable()) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.stalled() || c.resting.Load() && c.readable()) {
 		n, err = c.readWaiting(read)
 	}
 	if n > 0 {
@@ -157,20 +158,19 @@
 	return c.TCPConn.SetReadDeadline(front.At(time.Duration(due)))
 }
 
-// A read that ends so long after it was due was not waiting: the process stood
-// still, or had no processor. It may then take that long once more.
-const oversleep = 50 * time.Millisecond
+// readAfterStall is the time that reading what came during a stall may take.
+const readAfterStall = 50 * time.Millisecond
 
-// overslept reports whether the process slept through the time at which reading
+// stalled reports whether the process was stalled at the time at which reading
 // was due to end while something came, which is to be read: a timer that went
 // off in the meantime would have the server close the connection on a request
 // that had come in time. A client that sends slowly gains nothing by it, as the
 // timer goes off when it should while the process runs. It could do harm on a
 // machine that is always short of processors, where a slow sender would have
-// the oversleep more each time.
-func (c *clientConn) overslept() bool {
+// that time more each time.
+func (c *clientConn) stalled() bool {
 	due := time.Duration(c.due.Load()) // net/http calls off a read by a time long ago
-	return due > 0 && front.Now()-due >= oversleep && c.readable()
+	return due > 0 && stall.Detected(front.Now()-due) && c.readable()
 }
 
 // readWaiting reads what waits on the connection, however long the process takes
@@ -181,7 +181,7 @@
 		return 0, err
 	}
 	n, err := read()
-	c.SetReadDeadline(front.At(front.Now() + oversleep))
+	c.SetReadDeadline(front.At(front.Now() + readAfterStall))
 	return n, err
 }
 
--- a/internal/upstream/clock.go
+++ b/internal/upstream/clock.go
@@ -3,16 +3,13 @@
 import (
 	"sync"
 	"time"
-)
 
-const (
-	// stoodStill is how late a timer goes off where the process had no processor, or none
-	// of its machine's: what came meanwhile waits to be read.
-	stoodStill = 50 * time.Millisecond
-	// readAfterStill is the time that reading it may take.
-	readAfterStill = 50 * time.Millisecond
+	"spokegw/internal/stall"
 )
 
+// readAfterStall is the time that reading what came during a stall may take.
+const readAfterStall = 50 * time.Millisecond
+
 // clock ends an attempt whose time is up, or whose answer has begun and stops. There is
 // one a connection, with one timer of the system's for all its attempts. The timer may go
 // off for nothing: what puts a time off does not set it anew, and that of an attempt that
@@ -51,7 +48,7 @@
 }
 
 // ring ends the attempt if it is to end by now. An answer that has begun may have gone on
-// while the process stood still: whether it stopped is known once what waits has been read.
+// while the process was stalled: whether it stopped is known once what waits has been read.
 func (k *clock) ring() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -63,8 +60,8 @@
 		next, cause = k.pause, errStopped
 	}
 	now := time.Now()
-	if cause == errStopped && now.Sub(next) >= stoodStill {
-		k.pause = now.Add(readAfterStill)
+	if cause == errStopped && stall.Detected(now.Sub(next)) {
+		k.pause = now.Add(readAfterStall)
 		if next = k.pause; !k.deadline.IsZero() && k.deadline.Before(next) {
 			next, cause = k.deadline, errTimedOut
 		}
--- a/internal/upstream/clock_test.go
+++ b/internal/upstream/clock_test.go
@@ -4,11 +4,13 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"spokegw/internal/stall"
 )
 
-// The process stands still while an answer is under way, and its timer goes off before what
+// The process stalls while an answer is under way, and its timer goes off before what
 // came meanwhile is read: the answer has not stopped by that. With nothing there it has.
-func TestClockAfterAStandstill(t *testing.T) {
+func TestClockAfterAStall(t *testing.T) {
 	for name, c := range map[string]struct {
 		late, left time.Duration // of the pause, when the timer goes off; of the attempt's time
 		moves      bool          // more of the answer waits
@@ -16,10 +18,10 @@
 		cause      error
 	}{
 		"more waits":          {2 * time.Second, 10 * time.Second, true, answerPatience, errStopped},
-		"nothing waits":       {2 * time.Second, 10 * time.Second, false, readAfterStill, errStopped},
-		"little time is left": {2 * time.Second, readAfterStill / 2, false, readAfterStill / 2, errTimedOut},
+		"nothing waits":       {2 * time.Second, 10 * time.Second, false, readAfterStall, errStopped},
+		"little time is left": {2 * time.Second, readAfterStall / 2, false, readAfterStall / 2, errTimedOut},
 		"no time is left":     {2 * time.Second, -time.Second, false, 0, errTimedOut},
-		"it did not stand":    {stoodStill - 1, 10 * time.Second, true, 0, errStopped},
+		"it did not stall":    {stall.Threshold - 1, 10 * time.Second, true, 0, errStopped},
 		"it was passed on":    {2 * time.Second, 0, true, answerPatience, errStopped},
 	} {
 		t.Run(name, func(t *testing.T) {
