--- a/policy/many_cold_test.go
+++ b/policy/many_cold_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -96,3 +97,82 @@
 		}
 	}
 }
+
+// Twenty-four instances are restarted at once, or one after the other, in the midst of a
+// release and at 85% of what the endpoints can do: each is told of the endpoints at a moment
+// of its own, knows nothing of their answer times, and none knows what the others send. What
+// a cold one is sent by all, further attempts too, stays in any second within N attempts of
+// mean work and what chance may add, 2 x root of N + 2; N is what the settings allow it.
+func TestManyRestartedBeforeColdEndpoints(t *testing.T) {
+	const (
+		sidecars        = 24
+		coldTime, least = 20 * time.Second, 0.15
+		multiple        = 1.2 // of what it can do, for fallTime; settings have three
+		fallTime        = time.Second
+		meanWork        = 0.015
+	)
+	for name, spread := range map[string]time.Duration{"at once": 0, "over 6 s": 6 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			m := newMany(t, 1)
+			m.sidecars = m.sidecars[:sidecars]
+			begun := time.Hour
+			m.now = begun
+			var list []Endpoint
+			able := 0.0
+			sent := make([][]time.Duration, len(m.endpoints)) // to cold ones
+			for i := range m.endpoints {
+				e := Endpoint{ID: EndpointID(i), Cell: i / 4}
+				able++
+				if i%5 < 2 {
+					e.Started = begun
+					able += least - 1
+					m.endpoints[i].warmth = func() float64 {
+						return min(least+(1-least)*(m.now-begun).Seconds()/coldTime.Seconds(), 1)
+					}
+				}
+				list = append(list, e)
+			}
+			m.attempt = func(i int, a Send) {
+				if e := int(a.Endpoint); m.endpoints[e].warmth != nil {
+					sent[e] = append(sent[e], m.now)
+				}
+				m.send(i, a)
+			}
+			restart := func(i int) {
+				set := m.sidecars[i].set
+				set.ColdTime, set.StartCapacity, set.FleetSize = coldTime, least, sidecars
+				b, err := New(set, uint64(1000+i))
+				if err != nil {
+					t.Fatal(err)
+				}
+				m.sidecars[i] = b
+				m.after(time.Duration(m.rng.Int64N(int64(time.Second))), func() {
+					if m.sidecars[i] == b {
+						m.carryOut(i, b.Endpoints(m.now, list, true))
+					}
+				})
+			}
+			for i := range m.sidecars {
+				restart(i) // they are new, as the release is
+				m.after(3*time.Second+spread*time.Duration(i)/sidecars, func() { restart(i) })
+			}
+			m.run(able/meanWork*0.85, 12*time.Second)
+			for e, times := range sent {
+				if m.endpoints[e].warmth != nil && len(times) < 20 {
+					t.Errorf("cold endpoint %d was sent %d attempts in 12 s", e, len(times))
+				}
+				for from, at := range times {
+					to := from
+					for to < len(times) && times[to] < at+fallTime {
+						to++
+					}
+					warm := least + (1-least)*(at-begun).Seconds()/coldTime.Seconds()
+					n := multiple * warm * fallTime.Seconds() / meanWork
+					if most := n + 2*math.Sqrt(n) + 2; float64(to-from) > most {
+						t.Fatalf("cold endpoint %d was sent %d attempts in a second from %v on, %.0f at most are expected", e, to-from, at-begun, most)
+					}
+				}
+			}
+		})
+	}
+}
