--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -46,16 +46,23 @@
 	}
 }
 
-// A client that leaves while its request is out has it called off.
-func TestClientLeaves(t *testing.T) {
-	begun, ended := make(chan bool), make(chan bool)
-	s := start(t, nil, listenEndpoint(t, func(c net.Conn, r *bufio.Reader) {
+// listenSilent is an endpoint that answers nothing; it tells of each request, and of the end
+// of its connection.
+func listenSilent(t *testing.T) (addr string, begun, ended chan bool) {
+	begun, ended = make(chan bool), make(chan bool)
+	return listenEndpoint(t, func(c net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err == nil {
 			begun <- true
 			io.Copy(io.Discard, r)
 			ended <- true
 		}
-	}))
+	}), begun, ended
+}
+
+// A client that leaves while its request is out has it called off.
+func TestClientLeaves(t *testing.T) {
+	addr, begun, ended := listenSilent(t)
+	s := start(t, nil, addr)
 	c := dial(t, s)
 	io.WriteString(c, tile("leaves"))
 	<-begun
@@ -70,17 +77,11 @@
 // A client that has sent more behind its request and leaves then has it called off as any
 // other, both where the request is plain and where it is read by net/http's server.
 func TestClientLeavesBehindMore(t *testing.T) {
-	chunked := strings.Replace(report("leaves", ""), "Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 0", 1)
-	for name, text := range map[string]string{"plain": tile("leaves"), "not plain": chunked} {
+	expects := strings.Replace(report("leaves", ""), "Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 0", 1)
+	for name, text := range map[string]string{"plain": tile("leaves"), "not plain": expects} {
 		t.Run(name, func(t *testing.T) {
-			begun, ended := make(chan bool), make(chan bool)
-			s := start(t, nil, listenEndpoint(t, func(c net.Conn, r *bufio.Reader) {
-				if _, err := http.ReadRequest(r); err == nil {
-					begun <- true
-					io.Copy(io.Discard, r)
-					ended <- true
-				}
-			}))
+			addr, begun, ended := listenSilent(t)
+			s := start(t, nil, addr)
 			c := dial(t, s)
 			io.WriteString(c, text)
 			<-begun
