core: a client that its context tells to have left has no attempt begun

By HTTP/3, and where net/http reads a request, a client that leaves ends a context; where that had ended before Exchange.Do was called, Leave was called by another goroutine (context.AfterFunc) while the request's own began an attempt. Do looks at the context first.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -250,6 +250,9 @@
 	patience := x.request.Left
 	x.request.Left += x.request.Upload
 	if ctx.Done() != nil {
+		if ctx.Err() != nil {
+			x.Leave() // the function below is called some time after, by another goroutine
+		}
 		stop := context.AfterFunc(ctx, x.Leave)
 		defer stop()
 	}
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -86,6 +86,23 @@
 	}
 }
 
+// A client that has left by the time its request is taken, as its context tells, has no
+// attempt begun for it.
+func TestContextEndedBefore(t *testing.T) {
+	ended, end := context.WithCancel(context.Background())
+	end()
+	for i := range 50 {
+		c, _ := alone(t)
+		x := open(t, c, strconv.Itoa(i))
+		if a, err := x.Do(ended, nil); err != ErrGone {
+			t.Errorf("%d %v", a.Status, err)
+		}
+		if n := len(x.call.attempts); n > 0 {
+			t.Fatalf("%d attempts were begun", n)
+		}
+	}
+}
+
 // closedConnection is a client that has closed its connection, which nobody has told yet.
 type closedConnection struct{}
 
