upstream: an answer is not judged as stopped while its bytes wait unread

Written down where clock.ring ends an attempt: in 83 of 83 cases of "the answer stopped in the middle" 119,853 bytes of it waited in the socket, and the timer itself was 3 to 35 ms late, too little for a stall. The reader's goroutine had not had a processor for answerPatience (150 ms). Ruled out: admission (level 1.0), places and memory (no refusal of theirs), the endpoint.

At fault: internal/upstream/clock.go, ring, which took "no piece was read" for "no piece came". A good answer was thrown away and its endpoint blamed; what may not be repeated failed. Now ring looks at the connection first. With bytes there, or the other side's end, which an answer without a length waits for, the reader gets readAfterStall more, again and again up to the attempt's time.

--- a/internal/upstream/clock.go
+++ b/internal/upstream/clock.go
@@ -7,7 +7,8 @@
 	"spokegw/internal/stall"
 )
 
-// readAfterStall is the time that reading what came during a stall may take.
+// readAfterStall is the time that reading what came during a stall, or while the reader of
+// the answer had no processor, may take.
 const readAfterStall = 50 * time.Millisecond
 
 // clock ends an attempt whose time is up, or whose answer has begun and stops. There is
@@ -15,6 +16,7 @@
 // off for nothing: what puts a time off does not set it anew, and that of an attempt that
 // is over may find the next one.
 type clock struct {
+	unread   func() bool // whether the connection has something, or its end, for the reader
 	mu       sync.Mutex
 	timer    *time.Timer // nil: none was needed yet
 	armed    time.Time   // when it goes off
@@ -48,7 +50,8 @@
 }
 
 // ring ends the attempt if it is to end by now. An answer that has begun may have gone on
-// while the process was stalled: whether it stopped is known once what waits has been read.
+// while the process was stalled, or while its reader waited for a processor: whether it
+// stopped is known once what waits has been read.
 func (k *clock) ring() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -60,7 +63,7 @@
 		next, cause = k.pause, errStopped
 	}
 	now := time.Now()
-	if cause == errStopped && stall.Detected(now.Sub(next)) {
+	if cause == errStopped && !now.Before(next) && (stall.Detected(now.Sub(next)) || k.unread()) {
 		k.pause = now.Add(readAfterStall)
 		if next = k.pause; !k.deadline.IsZero() && k.deadline.Before(next) {
 			next, cause = k.deadline, errTimedOut
--- a/internal/upstream/clock_test.go
+++ b/internal/upstream/clock_test.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"io"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"spokegw/internal/budget"
 	"spokegw/internal/stall"
 )
 
@@ -27,7 +30,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				end, now := new(Ending), time.Now()
-				k := &clock{}
+				k := &clock{unread: func() bool { return false }}
 				defer k.close()
 				k.start(end, now.Add(time.Hour))
 				k.begin()
@@ -50,6 +53,79 @@
 	}
 }
 
+// The reader of an answer gets no processor for longer than an answer may pause, while the
+// rest of the answer, or its end, waits on the connection: the answer has not stopped. One
+// with nothing there has, and so has one whose attempt has no time left.
+func TestClockWhileTheReaderWaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		write string
+		close bool
+		left  time.Duration // of the attempt's time
+		cause error         // of its end once the clock has gone off; nil: it goes on
+	}{
+		"a piece waits":       {"rest", false, time.Hour, nil},
+		"the end waits":       {"", true, time.Hour, nil},
+		"both wait":           {"rest", true, time.Hour, nil},
+		"nothing waits":       {"", false, time.Hour, errStopped},
+		"it came out of time": {"rest", false, -time.Millisecond, errTimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			pool := NewPool(Shares{Slots: budget.New(1).Join(1, nil)}, time.Minute, time.Minute)
+			conn, err := pool.dial(t.Context(), Endpoint{Addr: l.Addr().String()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer pool.discard(conn)
+			endpoint, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer endpoint.Close()
+			if _, err := io.WriteString(endpoint, c.write); err != nil {
+				t.Fatal(err)
+			}
+			if c.close {
+				endpoint.Close()
+			}
+			if c.write != "" || c.close {
+				awaitReadable(t, conn)
+			}
+			end := new(Ending)
+			conn.clock.start(end, time.Now().Add(time.Hour))
+			conn.clock.begin()
+			conn.clock.mu.Lock()
+			conn.clock.pause = time.Now() // as if answerPatience had passed
+			conn.clock.deadline = time.Now().Add(c.left)
+			conn.clock.mu.Unlock()
+			conn.clock.ring()
+			if end.Cause() != c.cause {
+				t.Errorf("ended by %v, want %v", end.Cause(), c.cause)
+			}
+		})
+	}
+}
+
+// awaitReadable waits until a read from the connection would not wait.
+func awaitReadable(t *testing.T, c *conn) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tried := false
+	if err := raw.Read(func(uintptr) bool {
+		defer func() { tried = true }()
+		return tried || c.unread()
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // An attempt ends when its time is up, or its answer has begun and nothing more comes for
 // answerPatience, whichever is first, and at no other time; the next one on the connection
 // is not ended by what was set for the one before.
@@ -103,7 +179,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				end, begun := new(Ending), time.Now()
-				k := &clock{}
+				k := &clock{unread: func() bool { return false }}
 				defer k.close()
 				k.start(end, begun.Add(10*step))
 				c.play(k, end)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -125,9 +125,17 @@
 	}
 	c := &conn{TCPConn: nc.(*net.TCPConn), pool: p, to: e, r: bufio.NewReaderSize(nc, framing.MaxHead)}
 	c.cut = func() { c.SetDeadline(time.Unix(1, 0)) }
+	c.clock.unread = c.unread
 	return c, nil
 }
 
+// unread reports whether something waits to be read from the socket, or the other side has
+// closed it.
+func (c *conn) unread() bool {
+	n, closed := peek.Peek(c.TCPConn)
+	return n > 0 || closed
+}
+
 // reserve makes room for one more connection, at the cost of the one idle
 // longest where need be, of this service or of one that has more than its
 // reserve. With all in use it waits no longer than a connection may take to come
