sites: every gateway looks at a lost site in its turn, at one endpoint at least

At fault: Door.looks (internal/fleet/sites/door.go). Whether a gateway looks in a turn of 4 s, and at which endpoints, were two independent chances, of 1/3 and 1/4 here.

Now a gateway looks in one turn of each cycle, of as many turns as keeps the number of lookers, and takes its endpoints in turn from the sorted list, one at least. Clocks need not agree. Door.Step is told the endpoints for that. The 8 lookers of a large fleet and a quarter of the endpoints stay.

The tests over processes say in their log how long each wait took.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -26,7 +26,7 @@
 
 const (
 	measures = "Test(ToldOnce|TornTable|BackInSteps|AnswersNotUsed|AskedForLittle|ChangeIsFollowed|Liar|Assigned)"
-	losses   = "Test(NoLoss|NoLossByFew|Loss|Return|OddReturns|FalseLosses|Spread|Admit|Doors|DoorRises|PlanForLoss)"
+	losses   = "Test(NoLoss|NoLossByFew|Loss|Return|OddReturns|FalseLosses|Spread|Admit|Doors|EveryGatewayLooks|DoorRises|PlanForLoss)"
 
 	budgets = "TestEveryOrder"
 	charges = "TestChargesInEveryOrder"
@@ -144,7 +144,8 @@
 	{"internal/fleet/sites/sites.go", "s.part = max(firstPart, s.part/2)", "s.part = max(firstPart, s.part)", losses, "TestOddReturns"},
 	{"internal/fleet/sites/sites.go", "max(1.5*s.part, s.part+partStep)", "1", losses, "TestOddReturns"},
 	{"internal/fleet/sites/door.go", "math.Min(part, was+rise)", "math.Min(part, was+rise+1)", losses, "TestDoorRises"},
-	{"internal/fleet/sites/door.go", "spread(d.name, h, d.turn)*members < min(lookers, max(leastLookers, lookersPart*members)) && ", "h+uint64(members) > 0 && ", losses, "TestDoors"},
+	{"internal/fleet/sites/door.go", "if turn%uint64(cycle) != 0 {", "if len(listed) > 1<<20 {", losses, "TestEveryGatewayLooks"},
+	{"internal/fleet/sites/door.go", "first := (turn/uint64(cycle) + ", "first := (0*turn + ", losses, "TestEveryGatewayLooks"},
 	{"internal/fleet/sites/spread.go", "	room -= floor * sum\n", "", losses, "TestAdmit"},
 	{"internal/fleet/sites/spread.go", "			amount = math.Min(amount, placed[v][from[v]-n])\n", "", losses, "TestSpread"},
 	{"internal/fleet/sites/plan.go", "return p.set.Utilisation * s.Capacity * p.judge.Part(s.Name)", "return s.Capacity * p.judge.Part(s.Name)", losses, "TestPlanForLoss"},
--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -50,11 +50,14 @@
 // until waits until something is so at the processes, which tell when they are asked.
 func (g *gathering) until(what string, so func() bool) {
 	g.t.Helper()
-	for end := time.Now().Add(patience); !so(); <-time.After(10 * time.Millisecond) {
-		if time.Now().After(end) {
+	begun := time.Now()
+	for !so() {
+		if time.Since(begun) > patience {
 			g.t.Fatalf("%s: not so after %v", what, patience)
 		}
+		<-time.After(10 * time.Millisecond)
 	}
+	g.t.Logf("%s after %v", what, time.Since(begun).Round(10*time.Millisecond))
 }
 
 // figure is a number of a gateway's; -1: it tells none.
--- a/internal/core/measured_test.go
+++ b/internal/core/measured_test.go
@@ -101,7 +101,7 @@
 	if admit < 1 {
 		h.Admit = []sites.Admitted{{Group: sites.Group{Class: uint16(weights.NewClass("", "tile"))}, Part: admit}}
 	}
-	d.Step(now, h)
+	d.Step(now, h, nil)
 	return d
 }
 
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -108,7 +108,15 @@
 		return nil
 	}
 	plan, _ := sites.Parse(n.weights.Plan(now)) // what can't be meant is none
-	n.door.Step(now, plan)
+	var listed []sites.Listed
+	if len(plan.Sites) > 0 || n.door.Hurt() {
+		for _, e := range n.sight.Endpoints() {
+			if e.Ready {
+				listed = append(listed, sites.Listed{ID: uint64(e.ID), Site: e.Site})
+			}
+		}
+	}
+	n.door.Step(now, plan, listed)
 	return n.door.Clone()
 }
 
--- a/internal/fleet/sites/door.go
+++ b/internal/fleet/sites/door.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -13,8 +14,9 @@
 	lookers      = 8
 	leastLookers = 2
 	lookersPart  = 0.25
-	lookAt       = 0.25 // of the endpoints
-	// lookTurn is how long those are the same.
+	// looksForAll is after how many of its looks a gateway has met each endpoint.
+	looksForAll = 4
+	// lookTurn is how long a look lasts.
 	lookTurn = 4 * time.Second
 	// doorRises is by which a member lets in more of what is returning, in a second.
 	doorRises = 0.1
@@ -30,7 +32,13 @@
 	plan    Plan
 	parts   map[uint32]float64 // of sites that are not met whole; as many as sites
 	stepped time.Duration
-	turn    uint64
+	looked  map[uint64]bool // endpoints of lost sites that are looked at now
+}
+
+// Listed is an endpoint of the list that takes new requests.
+type Listed struct {
+	ID   uint64
+	Site string
 }
 
 // NewDoor makes that of a gateway of a site, one of so many.
@@ -41,10 +49,11 @@
 // SetHome takes another site of the gateway's, and how many there are.
 func (d *Door) SetHome(home string, members int) { d.home, d.members = Hash(home), members }
 
-// Step takes the plan in force; the zero one: there is none that is fresh.
-func (d *Door) Step(now time.Duration, p Plan) {
+// Step takes the plan in force, the zero one: there is none that is fresh, and the endpoints
+// that there are.
+func (d *Door) Step(now time.Duration, p Plan, listed []Listed) {
 	rise := doorRises * max(0, min((now-d.stepped).Seconds(), 4))
-	d.stepped, d.plan, d.turn = now, p, uint64(now/lookTurn)
+	d.stepped, d.plan = now, p
 	to := map[uint32]float64{}
 	for _, s := range p.Sites {
 		if to[s.Site] = s.Part; s.Site == d.home { // it is here, and meets itself
@@ -67,6 +76,44 @@
 			delete(d.parts, h)
 		}
 	}
+	d.look(listed)
+}
+
+// look sets which endpoints of lost sites are looked at. A gateway looks in every so many
+// turns, at other endpoints each time and at one at least. Gateways begin at turns of their
+// own, drawn by their names; but none can be without a look for longer than lookCycle, so a
+// site of few endpoints that comes back is seen, in a small fleet too.
+func (d *Door) look(listed []Listed) {
+	d.looked = map[uint64]bool{}
+	for site, part := range d.parts {
+		if part >= firstPart {
+			continue
+		}
+		cycle := lookCycle(d.members)
+		turn := uint64(d.stepped/lookTurn) + mixed(d.name, uint64(site), 0)%uint64(cycle)
+		if turn%uint64(cycle) != 0 {
+			continue
+		}
+		var ids []uint64
+		for _, e := range listed {
+			if Hash(e.Site) == site {
+				ids = append(ids, e.ID)
+			}
+		}
+		slices.Sort(ids)
+		step := uint64(max(1, min(looksForAll, len(ids))))
+		first := (turn/uint64(cycle) + mixed(d.name, uint64(site), 1)) % step
+		for i := first; i < uint64(len(ids)); i += step {
+			d.looked[ids[i]] = true
+		}
+	}
+}
+
+// lookCycle is how many turns there are from one look of a gateway to its next, in a fleet of
+// so many.
+func lookCycle(members int) int {
+	n := float64(max(members, 1))
+	return max(1, int(n/min(lookers, max(leastLookers, lookersPart*n))))
 }
 
 // Clone is a copy for readers, which nobody steps.
@@ -104,14 +151,7 @@
 	if part > 0 && spread(d.name, endpoint, 0) < part {
 		return true
 	}
-	return part < firstPart && d.looks(site, endpoint)
-}
-
-// looks reports whether this gateway goes on looking at an endpoint of a lost site.
-func (d *Door) looks(site string, endpoint uint64) bool {
-	h := uint64(Hash(site))
-	members := float64(max(d.members, 1))
-	return spread(d.name, h, d.turn)*members < min(lookers, max(leastLookers, lookersPart*members)) && spread(endpoint, d.name, d.turn) < lookAt
+	return part < firstPart && d.looked[endpoint]
 }
 
 // Factor is by which the weights of a site's endpoints are multiplied.
@@ -145,12 +185,14 @@
 }
 
 // spread spreads numbers over [0, 1).
-func spread(a, b, c uint64) float64 {
+func spread(a, b, c uint64) float64 { return float64(mixed(a, b, c)>>11) / (1 << 53) }
+
+// mixed is a hash of three numbers.
+func mixed(a, b, c uint64) uint64 {
 	x := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f ^ c*0x165667b19e3779f9
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return x ^ x>>33
 }
--- a/internal/fleet/sites/plan_test.go
+++ b/internal/fleet/sites/plan_test.go
@@ -155,7 +155,7 @@
 		if again, err := Parse(p.Append(nil)); err != nil || len(again.Sites) != len(p.Sites) {
 			t.Fatalf("%+v can't be read again: %v", p, err)
 		}
-		NewDoor("g", "s", 3).Step(time.Second, p)
+		NewDoor("g", "s", 3).Step(time.Second, p, []Listed{{1, "s"}})
 	})
 }
 
@@ -167,6 +167,55 @@
 	return all
 }
 
+// listed are endpoints of a site, numbered.
+func listed(site string, n uint64) (all []Listed) {
+	for e := range n {
+		all = append(all, Listed{e, site})
+	}
+	return all
+}
+
+// A lost site is looked at whatever the size of the fleet and of the site, and by gateways
+// whose clocks differ: each outside of it meets an endpoint at least in each cycle of turns, and
+// each endpoint within looksForAll cycles. All together meet no more than they should.
+func TestEveryGatewayLooks(t *testing.T) {
+	for _, members := range []int{1, 2, 3, 4, 6, 10, 24, 300} {
+		for _, endpoints := range []uint64{1, 2, 3, 7, 50} {
+			cycle := time.Duration(lookCycle(members)) * lookTurn
+			met := 0
+			for g := range members {
+				d := NewDoor(fmt.Sprint("g", g), "home", members)
+				seen := map[uint64]bool{}
+				clock := time.Duration(g) * 1300 * time.Millisecond
+				for n := range looksForAll {
+					looks := 0
+					for now := time.Duration(0); now < cycle; now += lookTurn {
+						at := clock + time.Duration(n)*cycle + now
+						d.Step(at, Plan{Sites: []Standing{{Site: Hash("s"), State: Lost}}}, listed("s", endpoints))
+						for e := range endpoints {
+							if d.Meets("s", e) {
+								looks++
+								seen[e] = true
+							}
+						}
+					}
+					if met += looks; looks == 0 {
+						t.Fatalf("%d gateways, %d endpoints: gateway %d does not look in its cycle %d", members, endpoints, g, n)
+					}
+				}
+				if len(seen) < int(endpoints) {
+					t.Errorf("%d gateways, %d endpoints: gateway %d has met %d of them", members, endpoints, g, len(seen))
+				}
+			}
+			turns := looksForAll * lookCycle(members)
+			most := 2 * max(leastLookers, lookers) * int(endpoints+looksForAll-1) / looksForAll
+			if met > turns*most {
+				t.Errorf("%d gateways, %d endpoints: %d looks in %d turns", members, endpoints, met, turns)
+			}
+		}
+	}
+}
+
 // Each endpoint of a site that returns is met by the stated part of the fleet, and a lost
 // one by a few that look, however large the fleet; gateways within it go on.
 func TestDoors(t *testing.T) {
@@ -175,7 +224,7 @@
 			all := doors(n)
 			for now := time.Second; now < 40*time.Second; now += time.Second {
 				for _, d := range all {
-					d.Step(now, Plan{Sites: []Standing{{Site: Hash("s"), State: Lost, Part: part}}})
+					d.Step(now, Plan{Sites: []Standing{{Site: Hash("s"), State: Lost, Part: part}}}, listed("s", 50))
 				}
 			}
 			met, lookers := 0, 0
@@ -203,7 +252,7 @@
 		}
 	}
 	d := NewDoor("g", "s", 3)
-	d.Step(time.Second, Plan{Sites: []Standing{{Site: Hash("s"), State: Lost}}})
+	d.Step(time.Second, Plan{Sites: []Standing{{Site: Hash("s"), State: Lost}}}, listed("s", 50))
 	if !d.Meets("s", 1) || d.Hurt() {
 		t.Error("a gateway within the lost site does not meet it")
 	}
@@ -216,7 +265,7 @@
 func TestDoorRises(t *testing.T) {
 	d := NewDoor("g", "home", 3)
 	at := func(now time.Duration, p Plan) float64 {
-		d.Step(now, p)
+		d.Step(now, p, nil)
 		part, hurt := d.parts[Hash("s")]
 		if !hurt {
 			return 1
