http1: a client that leaves behind a body in chunks and more is seen; a panic frees its room

A client that sends a body in chunks and more behind it, and closes then, was seen to have left only as the answer was written: what is read of such a body is passed on as it comes (clientConn.Read, through), so the first byte behind it ended net/http's watch for the close. The body's reader now tells the connection where the request ends (chunkedBody), and what comes after that is read on and dropped until the close shows, as behind any other request. "in chunks" of TestClientLeavesBehindMore does not end without it.

A panic between plain.take and the hand-over to a worker left the request's room for its body and its contract's charge taken: the reader now drops what it has taken and not handed on. TestPanicBeforeHandedOn fails without it ("room is still held").

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -36,6 +36,7 @@
 
 	serving atomic.Bool // a request was handed out and its answer has not begun
 	extra   atomic.Bool // something came behind that request
+	whole   atomic.Bool // that request's body came in chunks and has been read to its end
 
 	due     atomic.Int64 // as front.Now, when reading is to end; 0: it is not
 	moved   atomic.Int64 // as front.Now, when bytes last went either way
@@ -62,6 +63,9 @@
 			}
 			n, err := c.receive(b)
 			c.left -= int64(n)
+			if n > 0 && c.whole.Load() && c.cameTooSoon() {
+				return 0, c.awaitClose()
+			}
 			return n, err
 		}
 		if err := c.readHead(); err != nil {
@@ -246,6 +250,7 @@
 		c.ready = []byte(unreadable)
 	}
 	c.extra.Store(false)
+	c.whole.Store(false)
 	c.follows(c.serving.Swap(true)) // not answered yet, and here is the next
 	if c.through {
 		return err
@@ -270,6 +275,21 @@
 	}
 }
 
+// chunkedBody is a body in chunks. Its connection learns from it where the request ends,
+// as what is read there is passed on as it comes.
+type chunkedBody struct {
+	io.Reader
+	conn *clientConn
+}
+
+func (b chunkedBody) Read(to []byte) (int, error) {
+	n, err := b.Reader.Read(to)
+	if err == io.EOF {
+		b.conn.whole.Store(true)
+	}
+	return n, err
+}
+
 // cameTooSoon notes that something was read, and reports whether it came behind a request
 // whose answer has not begun. The connection then ends with that answer.
 func (c *clientConn) cameTooSoon() bool {
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -49,8 +49,11 @@
 		return
 	}
 	body := io.Reader(r.Body)
+	if r.ContentLength < 0 {
+		body = chunkedBody{r.Body, conn}
+	}
 	if r.ContentLength != 0 {
-		body = front.Pace(r.Body, rc, time.Duration(conn.begun.Load()))
+		body = front.Pace(body, rc, time.Duration(conn.begun.Load()))
 	}
 	held, more, err := front.ReadBody(body, r.ContentLength, x.Hold)
 	switch {
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -42,6 +42,7 @@
 	done    chan bool             // of the request that is served: whether its connection is kept
 	serves  bool                  // there is one, as the reader knows
 	waiting job                   // a request that is handed to a worker once nothing is left to be read; its x is nil where there is none
+	taken   *core.Exchange        // neither dropped nor handed to a worker yet; nil: none is
 
 	// Guarded by clientConn.mu.
 	left bool           // the client has left
@@ -55,6 +56,9 @@
 	p.look = p.read
 	handed := false
 	defer func() {
+		if p.taken != nil { // after a panic
+			p.drop(nil)
+		}
 		if !handed {
 			p.dropHead()
 			c.Close()
@@ -134,18 +138,31 @@
 	j := p.waiting
 	p.waiting = job{}
 	if errors.Is(err, os.ErrDeadlineExceeded) { // nothing was read
-		p.server.workers.serve(j)
+		p.start(j)
 		return true
 	}
 	p.serves = false
 	p.opens(nil)
-	j.x.Drop(nil)
+	p.drop(nil)
 	if err == nil {
 		p.write(followsTooSoon(), true)
 	}
 	return false
 }
 
+// start hands a request to a worker.
+func (p *plain) start(j job) {
+	p.server.workers.serve(j)
+	p.taken = nil
+}
+
+// drop ends a request that was taken and not begun.
+func (p *plain) drop(a *core.Answer) {
+	x := p.taken
+	p.taken = nil
+	x.Drop(a)
+}
+
 // followsTooSoon answers a request behind which something came before it was answered.
 func followsTooSoon() *core.Answer {
 	return &core.Answer{Status: http.StatusBadRequest, Reason: "something follows before the request was answered", Malformed: true}
@@ -228,7 +245,7 @@
 	if p.waiting.x != nil {
 		j := p.waiting
 		p.waiting = job{}
-		p.server.workers.serve(j)
+		p.start(j)
 	}
 	return false
 }
@@ -259,18 +276,19 @@
 	if refused != nil {
 		return p.refuse(refused, body, req.Close)
 	}
+	p.taken = x
 	held, err := body.whole(x)
 	if err != nil {
 		a := front.NotWhole(err)
-		x.Drop(a)
+		p.drop(a)
 		return p.refuse(a, body, true)
 	}
 	if p.extra.Load() || p.full && p.readable() {
-		x.Drop(nil)
+		p.drop(nil)
 		return p.write(followsTooSoon(), true)
 	}
 	if !p.clientConn.take() {
-		x.Drop(nil)
+		p.drop(nil)
 		return false
 	}
 	p.dropHead()
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"spokegw/internal/budget"
+	"spokegw/internal/core"
 	"spokegw/internal/front"
 )
 
@@ -78,7 +80,8 @@
 // other, both where the request is plain and where it is read by net/http's server.
 func TestClientLeavesBehindMore(t *testing.T) {
 	expects := strings.Replace(report("leaves", ""), "Content-Length: 0", "Expect: 100-continue\r\nContent-Length: 0", 1)
-	for name, text := range map[string]string{"plain": tile("leaves"), "not plain": expects} {
+	chunks := reportHead + "Req-Id: leaves\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	for name, text := range map[string]string{"plain": tile("leaves"), "not plain": expects, "in chunks": chunks} {
 		t.Run(name, func(t *testing.T) {
 			addr, begun, ended := listenSilent(t)
 			s := start(t, nil, addr)
@@ -99,6 +102,28 @@
 	}
 }
 
+// A panic between taking a request and handing it on ends its connection, and what the
+// request held is given back.
+func TestPanicBeforeHandedOn(t *testing.T) {
+	const all = 1 << 20
+	bodies := budget.New(all).Join(1, nil)
+	addr, _, _ := listenSilent(t)
+	s := start(t, func(c *core.ServiceConfig) { c.Rooms = []core.Room{{Bodies: bodies}} }, addr)
+	closed := make(chan job)
+	close(closed)
+	s.workers.idle = append(s.workers.idle, closed) // a job sent there panics
+	c := dial(t, s)
+	if _, err := io.WriteString(c, report("panics", "12345")); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := read(t, c); status != 0 {
+		t.Errorf("status %d", status)
+	}
+	if !bodies.TryAcquire(all) {
+		t.Error("room is still held")
+	}
+}
+
 // A client that has closed its connection by the time its request is read is gone: nothing
 // is sent on for it, however long the request has waited to be read.
 func TestClosedBeforeRead(t *testing.T) {
