upstream: a request that waits for a place has that of a connection that comes back

Found by a new test that an attempt tells its endpoint what is left as it is written. With all places taken a request waits in Pool.reserve for one to be given back. A connection that comes back good is kept idle and gives nothing back: put told nobody, and reserve asked for idle ones (Yield, Reclaim) once, before it waited. So the request waited on beside an idle connection until the connect timeout and was refused, unless another happened to close one.

put now tells those who wait (budget.Part.Offer, one atomic load where nobody does), and reserve asks for an idle one, of its own service or of one over its reserve, each time it wakes. TestPlaceOfAConnectionThatComesBack holds both; without the mend it hangs to the test's end.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -4,7 +4,10 @@
 // reserve and what is lent, never what another needs.
 package budget
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Reserved is the part of a budget that is divided into reserves; the rest is
 // lent. With more of it lent, one busy service gets further alone, and a hung
@@ -19,6 +22,7 @@
 	claimed int64 // over all parts, the larger of what is used and what is reserved
 	parts   map[*Part]struct{}
 	freed   chan struct{} // closed when something has been given back; nil: nobody waits
+	waited  atomic.Bool   // freed is not nil
 }
 
 // Part is what one service may use.
@@ -60,6 +64,9 @@
 	return b.used > b.total
 }
 
+// Waiting reports whether anybody may be waiting for something to be given back.
+func (b *Budget) Waiting() bool { return b.waited.Load() }
+
 // Weigh gives a part another weight, over 0.
 func (p *Part) Weigh(weight float64) {
 	b := p.budget
@@ -138,13 +145,14 @@
 }
 
 // Freed returns a channel that is closed when something is given back next, to
-// any part.
+// any part, or has become idle, as Offer tells.
 func (p *Part) Freed() <-chan struct{} {
 	b := p.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.freed == nil {
 		b.freed = make(chan struct{})
+		b.waited.Store(true)
 	}
 	return b.freed
 }
@@ -153,9 +161,22 @@
 	if b.freed != nil {
 		close(b.freed)
 		b.freed = nil
+		b.waited.Store(false)
 	}
 }
 
+// Offer tells those who wait, of any part, that this one has something idle now, which it
+// gives back where it is asked to.
+func (p *Part) Offer() {
+	b := p.budget
+	if !b.Waiting() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wake()
+}
+
 // Reclaim has another part that uses more than its reserve give back something
 // idle. It reports whether one did.
 func (p *Part) Reclaim() bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -144,16 +144,16 @@
 	if p.slots.TryAcquire(1) {
 		return nil
 	}
-	if !p.Yield() {
-		p.slots.Reclaim()
-	}
 	wait := time.NewTimer(p.dialer.Timeout)
 	defer wait.Stop()
 	for {
-		freed := p.slots.Freed()
+		freed := p.slots.Freed() // before looking, so that nothing that comes meanwhile is missed
 		if p.slots.TryAcquire(1) {
 			return nil
 		}
+		if p.Yield() || p.slots.Reclaim() {
+			continue
+		}
 		select {
 		case <-freed:
 		case <-wait.C:
@@ -264,7 +264,9 @@
 	p.mu.Unlock()
 	if closed {
 		p.discard(c)
+		return
 	}
+	p.slots.Offer() // a request that waits for a place needs it more
 }
 
 // Close closes the idle connections, and those in use as they come back. What
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -331,6 +333,98 @@
 	}
 }
 
+// A request that waits for a place has that of a connection that comes back meanwhile, of its
+// own service or of another that has more than its reserve: it does not wait on beside an
+// idle connection until it is refused.
+func TestPlaceOfAConnectionThatComesBack(t *testing.T) {
+	for _, own := range []bool{true, false} {
+		t.Run(fmt.Sprintf("of its own service=%v", own), func(t *testing.T) {
+			came, answer := make(chan struct{}), make(chan struct{})
+			addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					came <- struct{}{}
+					<-answer
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			places := budget.New(1)
+			pool := func() *Pool {
+				var p *Pool
+				part := places.Join(1, func() bool { return p.Yield() })
+				p = NewPool(Shares{Slots: part, Long: budget.New(1).Join(1, nil)}, long, time.Minute)
+				t.Cleanup(p.Close)
+				return p
+			}
+			first, second := pool(), pool()
+			if own {
+				second = first
+			}
+			results := make(chan policy.Result, 2)
+			begin := func(p *Pool, id string) {
+				go func() { results <- do(p, context.Background(), Endpoint{"s", addr}, request(id), long).Result }()
+			}
+			begin(first, "first")
+			<-came
+			begin(second, "second")
+			for !places.Waiting() {
+				runtime.Gosched()
+			}
+			answer <- struct{}{}
+			<-came
+			answer <- struct{}{}
+			for range 2 {
+				if result := <-results; result != policy.Served {
+					t.Errorf("result %v", result)
+				}
+			}
+		})
+	}
+}
+
+// An attempt that waits for its connection tells its endpoint what is left of its time as it
+// is written, not as it was decided.
+func TestTimeToldIsWhatIsLeft(t *testing.T) {
+	const whole = time.Minute
+	came, answer := make(chan *http.Request), make(chan struct{})
+	addr := endpoint(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			came <- req
+			<-answer
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newTestPool(1, 300<<10)
+	p.settle = 0
+	defer p.Close()
+	var attempts sync.WaitGroup
+	begin := func(id string, until time.Time) {
+		attempts.Go(func() { p.Begin(new(Ending), Endpoint{"s", addr}, request(id), Times{Until: until}, nil) })
+	}
+	begin("first", time.Now().Add(whole)) // has the one connection there may be
+	<-came
+	until := time.Now().Add(whole)
+	begin("second", until)
+	left := whole
+	for left > whole-2*time.Millisecond {
+		left = time.Until(until)
+	}
+	answer <- struct{}{} // the second is written after this
+	text := (<-came).Header.Get("Req-Deadline")
+	answer <- struct{}{}
+	attempts.Wait()
+	told, err := time.ParseDuration(strings.TrimSuffix(text, "u") + "us")
+	if err != nil || told > left || told < left-whole/2 {
+		t.Errorf("%q is told with %v left (%v)", text, left, err)
+	}
+}
+
 // What was called off before its last byte was sent never ran, and tells nothing of the
 // endpoint: its client has left, which is no failed connection.
 func TestCalledOffBeforeSent(t *testing.T) {
