policy: who is refused stays away where a late answer is worth nothing

By policy/request.go, finish, a refused client was asked back after at most half of its time, 50 to 270 ms here, which with the answer's own time is more than the aim (250 ms). Such an answer is worth nothing in that deployment, and took a place at an endpoint from a request still in time, which was then late too.

Now a client whose late answer is worth nothing is told to come back only if that can be in time, and else after its own time. Nothing changes for classes with a late worth.

TestWhenToComeBack fails in two of five cases without the change.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -54,8 +54,7 @@
 	a.pressure, a.level, a.updated = a.pressure*keep, 1-(1-a.level)*keep, now
 }
 
-// admit decides whether a request is tried at all. What is worth less for its
-// work, or usual answer time, and tenants over their share, go first.
+// admit decides whether a request is tried. What is worth less for its work or time, and tenants over their share, go first.
 func (b *Balancer) admit(r *request) bool {
 	a := &b.adm
 	a.fade(b.now)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -1,8 +1,7 @@
-// Package policy makes the decisions of a load balancer that runs as one instance beside every
-// client process. It is pure: time and seed come in with the calls, actions go out as values,
-// and instances share nothing. The ordinary path is HALO's power-of-two variant: Eq. (4) splits
-// the load over the kinds of server, two servers are drawn by that split, and the request goes
-// to the one with fewer in flight.
+// Package policy makes the decisions of a load balancer that runs as one instance beside every client process.
+// It is pure: time and seed come in with the calls, actions go out as values, and instances share nothing. The
+// ordinary path is HALO's power-of-two variant: Eq. (4) splits the load over the kinds of server, two servers are
+// drawn by that split, and the request goes to the one with fewer in flight.
 package policy
 
 import (
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -243,8 +243,7 @@
 	return a, f.scan(random, func(s *server) bool { return s != a && ok(s) })
 }
 
-// better takes the one of two drawn servers with fewer in flight, ties by group
-// probability. Fresh reports of both count in place of own requests, per speed.
+// better takes the server with fewer in flight, ties by group probability. Fresh reports of both count instead, per speed.
 func (f *fleet) better(a, b *server, now time.Duration, random func() float64) *server {
 	la, lb := float64(a.inFlight), float64(b.inFlight)
 	if a.reported(now) && b.reported(now) {
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -688,6 +688,40 @@
 	}
 }
 
+// A refused client may come back while it can still be answered in time. Failure answered: with
+// late answers worth nothing, clients that were refused came back, were served late, and a third
+// of what 32 sidecars could have served in time was spent on that.
+func TestWhenToComeBack(t *testing.T) {
+	const left = 400 * ms // of which the aim is a quarter
+	soon := time.Duration(leastAdmitted * comeBack * float64(left))
+	for name, c := range map[string]struct {
+		class int
+		level float64
+		usual time.Duration // answer time
+		want  time.Duration
+	}{
+		"late answers have a worth, all refused": {class: 0, level: 0, want: left / 2},
+		"they have none, all refused":            {class: 4, level: 0, want: left},
+		"they have none, next to none refused":   {class: 4, level: 1, want: soon},
+		"and the usual answer takes too long":    {class: 4, level: 1, usual: 90 * ms, want: left},
+		"and the usual answer is in time":        {class: 4, level: 1, usual: 70 * ms, want: soon},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, settings()) // there is no endpoint
+			b.begin(ms)
+			b.adm.level, b.adm.updated, b.times[c.class].per = c.level, ms, c.usual.Seconds()
+			got := b.Request(ms, Request{ID: 1, Class: c.class, Left: left})
+			if len(got) != 1 || got[0] != (Refuse{1, c.want}) {
+				t.Errorf("got %v, want a refusal for %v", got, c.want)
+			}
+		})
+	}
+	b := start(t, settings())
+	if got := b.Request(ms, Request{ID: 1, Class: 99, Left: left}); len(got) != 1 || typeOf(got[0:1]) != "policy.Refuse" {
+		t.Errorf("of a class that there is not: %v", got)
+	}
+}
+
 // Late answers must lead to refusals soon, and be forgotten in time.
 func TestPressureRefusesAndFades(t *testing.T) {
 	b := ready(t, ms, fleetOf(4))
--- a/policy/request.go
+++ b/policy/request.go
@@ -99,6 +99,7 @@
 	b.gap.add((now - b.lastIn).Seconds(), sampleMemory)
 	b.lastIn = now
 	if q.Class < 0 || q.Class >= len(b.set.Classes) || q.Left <= 0 {
+		r.Class = 0 // there is one
 		b.finish(r)
 		return b.actions
 	}
@@ -217,10 +218,15 @@
 	return r.ran() == 0 || safe(&b.set.Classes[r.Class])
 }
 
-// finish answers with a refusal where that is legal, else with a failure.
+// finish answers with a refusal where that is legal, else with a failure. Failure answered: who came
+// back for a late answer that is worth nothing took the place of others. Harm: one that was in time.
 func (b *Balancer) finish(r *request) {
 	if b.mayRefuse(r) {
-		after := math.Max(1-b.adm.level, leastAdmitted) * comeBack * float64(r.deadline()-r.Upload-b.now)
+		left, c := float64(r.deadline()-r.Upload-b.now), &b.set.Classes[r.Class]
+		after := math.Max(1-b.adm.level, leastAdmitted) * comeBack * left
+		if c.LateWorth <= 0 && after+b.expected(r)*float64(time.Second) > float64(c.Aim) {
+			after = left
+		}
 		b.do(Refuse{r.ID, max(time.Duration(after), 0)})
 	} else {
 		b.do(Fail{Request: r.ID})
--- a/policy/split.go
+++ b/policy/split.go
@@ -5,9 +5,8 @@
 	"slices"
 )
 
-// splitKinds solves HALO's Eq. (4): each kind's share of all requests at rate
-// lambda (unknown: saturation), given k effective servers of speed mu per kind.
-// Kinds with a negative share are dropped. The sum is 1 (0: no usable server).
+// splitKinds solves HALO's Eq. (4): each kind's share of all requests at rate lambda (unknown: saturation), given
+// k effective servers of speed mu per kind. Kinds with a negative share are dropped. The sum is 1 (0: no usable server).
 func splitKinds(k, mu []float64, lambda float64) []float64 {
 	k, mu = slices.Clone(k), slices.Clone(mu)
 	shares := make([]float64, len(k))
