--- a/bench/federation/main.go
+++ b/bench/federation/main.go
@@ -26,7 +26,15 @@
 	program := flag.String("program", "bin/spokegw", "the sidecar's command")
 	phase := flag.Duration("phase", 6*time.Second, "of each scene, of which the last half is measured")
 	sites := flag.Bool("sites", false, "play the loss of a site in place of a shared quota; phases of 30s are of use")
+	restarts := flag.Int("restarts", 0, "so many processes under load, seven in ten of which are killed and started anew at once, in place of a shared quota")
 	flag.Parse()
+	if *restarts > 0 {
+		if err := runRestarts(*program, *restarts, 0.7); err != nil {
+			fmt.Fprintln(os.Stderr, "federation:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if *sites {
 		if err := runSites(*program, *gateways, *phase); err != nil {
 			fmt.Fprintln(os.Stderr, "federation:", err)
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -36,7 +37,7 @@
 	Rate     float64 // of the one quota, requests a second over all gateways
 	Burst    float64
 	Lease    time.Duration
-	Alone    bool     // no fleet: each gateway holds its even part for itself
+	Alone    bool     // no fleet: each gateway holds its even part for itself, and knows how many there are
 	Sites    []string // of gateways and endpoints, in turn; with Weights
 	Weights  bool     // endpoints are weighed by what the fleet measures
 	// Endpoints are what serves; none: two that do anything in a millisecond.
@@ -68,9 +69,9 @@
 type endpoint struct {
 	*lab.Endpoint
 	entry   discovery.Entry
-	came    int           // requests
-	leaving time.Duration // since when the list has it so; 0: it has not
-	late    int           // requests that came later than grace after that
+	came    []time.Duration // when requests came, since the federation began
+	leaving time.Duration   // since when the list has it so; 0: it has not
+	late    int             // requests that came later than grace after that
 }
 
 // Gateway is one of its processes.
@@ -125,8 +126,10 @@
 			}
 		}
 	}
-	if err := f.link(); err != nil {
-		return err
+	if !f.Alone {
+		if err := f.link(); err != nil {
+			return err
+		}
 	}
 	for _, g := range f.Gateways {
 		if err := g.configure(); err != nil {
@@ -282,9 +285,13 @@
 
 // configure writes a gateway's files.
 func (g *Gateway) configure() error {
-	f := g.of
+	f, size := g.of, 0
+	if f.Alone {
+		size = len(f.Gateways)
+	}
 	platform := scene.Configuration(scene.Platform{
-		Name: g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0, Cold: f.Cold,
+		FleetSize: size,
+		Name:      g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0, Cold: f.Cold,
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": window.Milliseconds(),
 			"worth": 3, "late_worth": 0.4, "aim_ms": aim.Milliseconds(), "hard_limit_ms": deadline.Milliseconds()}},
 	})
@@ -411,6 +418,28 @@
 	return g.Start()
 }
 
+// RestartAll kills all processes of some gateways and starts others in their place, all at
+// once. It returns how long each took until it was ready.
+func (f *Federation) RestartAll(gateways []*Gateway) (took []time.Duration, err error) {
+	var kills, starts sync.WaitGroup
+	for _, g := range gateways {
+		kills.Go(g.Kill)
+	}
+	kills.Wait()
+	took = make([]time.Duration, len(gateways))
+	errs := make([]error, len(gateways))
+	for i, g := range gateways {
+		starts.Go(func() {
+			begun := time.Now()
+			errs[i] = g.Start()
+			took[i] = time.Since(begun)
+		})
+	}
+	starts.Wait()
+	slices.Sort(took)
+	return took, errors.Join(errs...)
+}
+
 // Pause has the process stand still.
 func (g *Gateway) Pause() {
 	g.setDown(true)
@@ -462,7 +491,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ran = append(f.ran, at)
-	if e.came++; e.leaving > 0 && at > e.leaving+grace {
+	if e.came = append(e.came, at); e.leaving > 0 && at > e.leaving+grace {
 		e.late++
 	}
 	key, cell := r.Header.Get("Idempotency-Key"), e.entry.Cell
@@ -478,7 +507,14 @@
 func (f *Federation) Came(endpoint int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.endpoints[endpoint].came
+	return len(f.endpoints[endpoint].came)
+}
+
+// Times are when requests came to an endpoint, since the federation began.
+func (f *Federation) Times(endpoint int) []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.endpoints[endpoint].came)
 }
 
 // Endpoint is one of those that serve.
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -204,6 +204,7 @@
 	Listed             []discovery.Entry // in place of them; nil: they are
 	MemoryMB, Sockets  int               // 0: 128 and 1,024
 	MaxTries           int               // 0: 3
+	FleetSize          int               // sidecars of the deployment; 0: 1
 	ConnectTimeout     time.Duration     // 0: 100 ms
 	SecondCopies       bool
 	Cold               time.Duration // that a new endpoint takes until it is warm, from a fifth of its capacity; 0: none is cold
@@ -217,7 +218,7 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(p.MemoryMB, 128), "sockets": cmp.Or(p.Sockets, 1024)},
 		"known":  map[string]any{"version": 1, "full": true, "servers": listed(p.Listed, p.Endpoints)},
 		"settings": map[string]any{
-			"fleet_size": 1, "discovery": "pushed", "kinds": []string{"std"},
+			"fleet_size": cmp.Or(p.FleetSize, 1), "discovery": "pushed", "kinds": []string{"std"},
 			"limits": map[string]any{
 				"send_cap": cmp.Or(p.MaxTries, 3), "connect_timeout_ms": cmp.Or(p.ConnectTimeout, 100*time.Millisecond).Milliseconds(), "conn_idle_ms": 10000,
 				"cancelling": true, "second_copies": p.SecondCopies,
