--- a/cmd/spokegw/crowd_test.go
+++ b/cmd/spokegw/crowd_test.go
@@ -54,7 +54,7 @@
 	if late := took[len(took)*9/10]; late > 10*time.Second {
 		t.Errorf("nine in ten are ready after %v", late)
 	}
-	<-time.After(replaced.Add(8 * time.Second).Sub(time.Now()))
+	<-time.After(time.Until(replaced.Add(8 * time.Second)))
 	for _, e := range fresh {
 		times, worst := g.Times(e), 0.0
 		for from, at := range times {
