lab: a gateway's addresses differ from one another

An instance by itself could take one of its own addresses twice, one in some hundred runs: mended here. That several instances of the tests at once collide stays.

--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -223,8 +223,8 @@
 	g.dir, g.load = filepath.Join(f.Dir, g.Name), g.newLoad()
 	var err error
 	g.host = fmt.Sprintf("127.0.%d.%d", 1+g.Number/200, 10+g.Number%200)
-	if g.listen, err = process.FreeAddrOf(g.host); err == nil {
-		g.fleet, err = process.FreeAddrOf(g.host)
+	if g.listen, err = g.freeAddr(); err == nil {
+		g.fleet, err = g.freeAddr()
 	}
 	if err != nil {
 		return err
@@ -233,6 +233,17 @@
 	return os.MkdirAll(g.dir, 0o700)
 }
 
+// freeAddr is a free address of the gateway's host that is not to be another one of its
+// addresses, which nobody has while its process is down.
+func (g *Gateway) freeAddr() (string, error) {
+	for {
+		addr, err := process.FreeAddrOf(g.host)
+		if err != nil || addr != g.listen && addr != g.fleet {
+			return addr, err
+		}
+	}
+}
+
 func (f *Federation) link() error {
 	for i := range f.Gateways {
 		row := make([]*links.Link, len(f.Gateways))
@@ -353,7 +364,7 @@
 // Start starts a gateway's process, and waits until it serves.
 func (g *Gateway) Start() error {
 	f := g.of
-	management, err := process.FreeAddrOf(g.host)
+	management, err := g.freeAddr()
 	if err != nil {
 		return err
 	}
