policy: cold endpoints are sent a part of what is answered, for the sum of all

Change: policy/slowstart.go. An answer, and nothing else, earns all cold endpoints their part of one request, by lowest warmth and size, and the endpoint that gave it some more. Endpoints can't answer more than they can do, so the sum over all sidecars is bounded at any load, whatever they know of each other; bursts, retries and copies earn nothing. rules.fall_multiple is read for it. What is saved up is one credit for all cold endpoints, so that a request goes where its key is known; a fleet bounds it.

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -252,6 +252,8 @@
 		StartCapacity float64 `json:"start_capacity"`
 		Cold          float64 `json:"cold_ms"`
 		DrainGrace    float64 `json:"drain_grace_ms"`
+		FallMultiple  float64 `json:"fall_multiple"`
+		FallTime      float64 `json:"fall_ms"`
 	} `json:"rules"`
 }
 
@@ -281,6 +283,7 @@
 		FleetSize: o.FleetSize, Zone: o.Zone,
 		OnRequest: o.Discovery == "on_request", AskWithin: fromMS(o.Rules.AskWithin), DrainGrace: fromMS(o.Rules.DrainGrace),
 		ColdTime: fromMS(o.Rules.Cold), StartCapacity: o.Rules.StartCapacity,
+		FallMultiple: o.Rules.FallMultiple, FallTime: fromMS(o.Rules.FallTime),
 		MaxAttempts: o.Limits.SendCap, SecondCopies: o.Limits.SecondCopies,
 		Cancel: o.Limits.Cancelling, MayProbe: o.Limits.MayProbe,
 		ConnIdle: fromMS(o.Limits.ConnIdle), WarmKeys: o.Domain.WarmKeys, WorthByWork: o.WorthBy == "work",
--- a/internal/wire/faults.go
+++ b/internal/wire/faults.go
@@ -34,6 +34,12 @@
 	if c := s.Rules.StartCapacity; c < 0 || c > 1 {
 		f.Fault(key+".rules.start_capacity", "a number from 0 to 1 is expected, not %v", c)
 	}
+	if m := s.Rules.FallMultiple; m < 0 {
+		f.Fault(key+".rules.fall_multiple", "a number over 0 is expected, not %v", m)
+	}
+	if ms := s.Rules.FallTime; ms < 0 {
+		f.Fault(key+".rules.fall_ms", "a time in milliseconds is expected, not %v", ms)
+	}
 }
 
 func (s *Shape) checkClass(f *jsonfile.File, key string, i int) {
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -124,9 +124,10 @@
 		each("class", 0, j, &c.per, &c.n, &c.work.value, &c.work.weight)
 	}
 	for _, s := range f.servers {
-		h := s.at(now)
+		h, due := s.at(now), s.allowed.due()
 		out, warm, speed, chance := float64(s.inFlight), s.warmth(now, &b.set), f.kinds[s.Kind].value(), s.chance
-		each("endpoint", int(s.ID), 0, &h, &s.credit, &out, &warm, &speed, &chance, &s.Nominal)
+		each("endpoint", int(s.ID), 0, &h, &due, &out, &warm, &speed, &chance, &s.Nominal)
+		s.allowed.adopt(due)
 		s.standing, f.stale = standing{1 - h, now}, true
 	}
 }
@@ -137,6 +138,7 @@
 	if !b.begun {
 		b.begun = true
 		b.lastIn, b.adm.updated, b.home = now, now, b.rng.Uint64()
+		b.fleet.slowStart.all = b.fleet.slowStart.newAllowance(now, b.random)
 		b.planSubscribe(b.renewal.first(&b.set, b.random()))
 	}
 }
@@ -149,7 +151,7 @@
 func (b *Balancer) Endpoints(now time.Duration, list []Endpoint, whole bool) []Action {
 	b.begin(now)
 	b.renewal.watched = b.renewal.called
-	b.fleet.update(list, whole, b.random)
+	b.fleet.update(now, list, whole, b.random)
 	return b.actions
 }
 
@@ -171,7 +173,11 @@
 }
 
 // refresh brings the draw table up to date for a class.
-func (b *Balancer) refresh(class int) { b.fleet.refresh(b.now, &b.set, class, b.fleetRate(), b.random) }
+func (b *Balancer) refresh(class int) {
+	if b.fleet.refresh(b.now, &b.set, class, b.fleetRate(), b.random) {
+		b.fleet.shareOut(b.now, &b.set, b.keepsTo)
+	}
+}
 
 // fleetRate is λ in servers of speed 1 and one core: it errs towards proportional. It is not usable before the first gap.
 func (b *Balancer) fleetRate() float64 { return float64(b.set.FleetSize) * b.meanTime() / b.gap.value }
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -50,7 +50,8 @@
 	standing                            // of all classes
 	classes               []standing    // of each: what fails may be one class's alone
 	weight, chance, rank  float64       // w in [0,1] by readiness, cold ramp and health; of one draw: w * p_i*/k_i; scratch of chooseByKey
-	load, credit, seen    float64       // requests held, as reported; part of an attempt it is due while cold; fleet.parts when that was counted
+	load                  float64       // requests held, as reported
+	allowed               allowance     // while it is cold
 	loadAt, kept, through time.Duration // kept: until then a connection to it may rest; through: the latest start of what it answered
 }
 
@@ -69,11 +70,11 @@
 	table, ranked  []*server // servers with a chance, in order; scratch of chooseByKey
 	stale          bool      // membership or health changed since the table was built
 	solveAt        time.Duration
-	crossing       bool              // crossing zones has a price
-	zone           int               // of the client
-	classes, class int               // how many; that of share and table
-	served         mean              // part of the attempts that were served
-	parts          float64           // attempts due to each endpoint so far
+	crossing       bool // crossing zones has a price
+	zone           int  // of the client
+	classes, class int  // how many; that of share and table
+	served         mean // part of the attempts that were served
+	slowStart      slowStart
 	cells          [maxKind + 1]mean // log of answer times over those of their kinds
 }
 
@@ -82,7 +83,7 @@
 }
 
 // update applies a listing; the gone are forgotten once nothing is in flight.
-func (f *fleet) update(list []Endpoint, whole bool, random func() float64) {
+func (f *fleet) update(now time.Duration, list []Endpoint, whole bool, random func() float64) {
 	for _, s := range f.servers {
 		s.listed = s.listed && !whole
 	}
@@ -93,10 +94,11 @@
 		}
 		s := f.byID[e.ID]
 		if s == nil {
-			s = &server{loadAt: -reportFresh - 1, credit: random(), seen: f.parts}
+			s = &server{loadAt: -reportFresh - 1, allowed: f.slowStart.newAllowance(now, random)}
 			f.byID[e.ID], f.servers = s, append(f.servers, s)
 		} else if e.Started != s.Started {
 			s.standing, s.classes = standing{}, nil // a new process owes nothing for the old one's faults
+			s.allowed = f.slowStart.newAllowance(now, random)
 		}
 		s.Endpoint, s.listed = e, e.Readiness != Gone
 	}
@@ -179,10 +181,10 @@
 	return set.StartCapacity + (1-set.StartCapacity)*math.Max(0, age.Seconds()/set.ColdTime.Seconds())
 }
 
-// refresh rebuilds weights, split and draw table for a class where due.
-func (f *fleet) refresh(now time.Duration, set *Settings, class int, rate float64, jitter func() float64) {
+// refresh rebuilds weights, split and draw table for a class where due, and reports whether it did.
+func (f *fleet) refresh(now time.Duration, set *Settings, class int, rate float64, jitter func() float64) bool {
 	if now < f.solveAt && !f.stale && class == f.class {
-		return
+		return false
 	}
 	k := f.weigh(now, set, class)
 	mu := make([]float64, len(f.kinds))
@@ -192,6 +194,7 @@
 	f.solveAt = now + time.Duration(float64(solvePeriod)*(0.5+jitter()))
 	f.class, f.stale, f.share = class, false, splitKinds(k, mu, rate)
 	f.tabulate(k)
+	return true
 }
 
 // weigh sets every endpoint's weight, by its size beside its kind's, and returns k_i, their sum by kind.
@@ -209,14 +212,6 @@
 	return k
 }
 
-// spared reports whether a cold endpoint is passed over. Failure answered: in a
-// release under overload the cold ones were sent several times what they can do.
-func (f *fleet) spared(s *server, now time.Duration, set *Settings) bool {
-	warm := s.warmth(now, set)
-	s.credit, s.seen = math.Min(s.credit+(f.parts-s.seen)*warm*s.healthAt(now, f.class), 1), f.parts
-	return warm < 1 && s.credit < 1
-}
-
 // usable reports whether new requests may go to the server.
 func (s *server) usable() bool { return s.listed && s.Readiness == Ready }
 
--- a/policy/keys.go
+++ b/policy/keys.go
@@ -24,6 +24,9 @@
 	return math.Max(least, b.set.ConnIdle.Seconds()/math.Max(b.gap.value, 1e-3)/partReuse/float64(len(b.fleet.table)))
 }
 
+// keepsTo reports whether first attempts go to an endpoint.
+func (b *Balancer) keepsTo(s *server) bool { return mix(b.home, s.ID) < b.part() }
+
 // keyCounts counts how often each key came by of late.
 type keyCounts struct {
 	counts map[uint64]float64
@@ -59,6 +62,9 @@
 	return (float64(h>>11) + 0.5) / (1 << 53)
 }
 
+// keyRank is the place of a server with a chance among those of a key: the highest come first.
+func keyRank(key uint64, s *server) float64 { return math.Log(mix(key, s.ID)) / s.chance }
+
 // chooseByKey draws two of the want servers a key ranks first (rendezvous hashing):
 // the same few at every client; over all keys a server still gets its p_i*/k_i.
 func (f *fleet) chooseByKey(key uint64, want int, random func() float64, ok func(*server) bool) (a, b *server) {
@@ -67,7 +73,7 @@
 		if !ok(s) {
 			continue
 		}
-		s.rank = math.Log(mix(key, s.ID)) / s.chance
+		s.rank = keyRank(key, s)
 		i := len(f.ranked)
 		if i < want {
 			f.ranked = append(f.ranked, s)
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -64,17 +64,23 @@
 
 // newMany makes 80 instances and 60 endpoints in cells of four; every fifth is slow.
 func newMany(t *testing.T, slow float64) *many {
-	m := &many{rng: rand.New(rand.NewPCG(7, 7)), class: map[[2]int]int{}, attempts: map[[2]int]int{}}
+	m := newFleetOf(t, 80, 60, 7)
+	for i := 0; i < len(m.endpoints); i += 5 {
+		m.endpoints[i].slow = slow
+	}
+	return m
+}
+
+// newFleetOf makes so many instances and endpoints, in cells of four.
+func newFleetOf(t *testing.T, sidecars, endpoints int, seed uint64) *many {
+	m := &many{rng: rand.New(rand.NewPCG(seed, 7)), class: map[[2]int]int{}, attempts: map[[2]int]int{}}
 	var list []Endpoint
-	for i := range 60 {
+	for i := range endpoints {
 		list = append(list, Endpoint{ID: EndpointID(i), Cell: i / 4})
 		m.endpoints = append(m.endpoints, &busy{slow: 1})
-		if i%5 == 0 {
-			m.endpoints[i].slow = slow
-		}
 	}
-	for i := range 80 {
-		b, err := New(Settings{Classes: manyClasses, FleetSize: 80, MaxAttempts: 3, SecondCopies: true, Cancel: true, WorthByWork: true}, uint64(i))
+	for i := range sidecars {
+		b, err := New(Settings{Classes: manyClasses, FleetSize: sidecars, MaxAttempts: 3, SecondCopies: true, Cancel: true, WorthByWork: true}, uint64(i))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -86,6 +92,12 @@
 
 // run has requests come at a rate, a second over the whole fleet, for so long.
 func (m *many) run(rate float64, lasts time.Duration) {
+	m.runAt(func(time.Duration) float64 { return rate }, lasts)
+}
+
+// runAt is run at a rate that goes by the time since the beginning.
+func (m *many) runAt(rate func(since time.Duration) float64, lasts time.Duration) {
+	begun := m.now
 	m.asked, m.refused, m.served = [2]int{}, [2]int{}, [2]int{}
 	end, id := m.now+lasts, 0
 	var arrive func()
@@ -99,7 +111,7 @@
 		m.class[key] = class
 		m.asked[class]++
 		m.carryOut(i, m.sidecars[i].Request(m.now, Request{ID: RequestID(key[1]), Class: class, Left: manyClasses[class].Deadline, Cost: manyWork[class].Seconds()}))
-		m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+		m.after(time.Duration(m.rng.ExpFloat64()/rate(m.now-begun)*float64(time.Second)), arrive)
 	}
 	m.after(0, arrive)
 	for len(m.queue) > 0 {
--- a/policy/probe.go
+++ b/policy/probe.go
@@ -72,7 +72,7 @@
 		return
 	}
 	b.refresh(r.Class)
-	fits := func(s *server) bool { return s.chance > 0 && b.maySend(r, s) }
+	fits := func(s *server) bool { return s.chance > 0 && b.maySend(r, s) && b.withinBudget(r, s) }
 	s := b.fleet.better(x, y, b.now, b.random)
 	if !fits(s) {
 		s, _ = b.fleet.choose(b.random, false, fits)
--- a/policy/request.go
+++ b/policy/request.go
@@ -123,13 +123,13 @@
 		return false
 	}
 	b.refresh(r.Class)
-	f := &b.fleet
-	f.parts += f.served.value / math.Max((1-f.served.value)*float64(len(f.table)), 1e-3) // no limit while all are served
-	ok := func(s *server) bool { return b.maySend(r, s) && !f.spared(s, b.now, &b.set) }
-	other := func(s *server) bool { return r.count(func(a *attempt) bool { return a.server == s }) == 0 && ok(s) }
+	b.earnCold(r)
+	ok := func(s *server) bool { return b.maySend(r, s) && b.withinBudget(r, s) }
+	isNew := func(s *server) bool { return r.count(func(a *attempt) bool { return a.server == s }) == 0 }
+	other := func(s *server) bool { return isNew(s) && ok(s) }
 	// Failure answered: half of the fleet is silent to a class. A second copy goes where one was served.
 	x, y := b.draw(r, func(s *server) bool {
-		return other(s) && (len(r.attempts) > 0 || mix(b.home, s.ID) < b.part()) && (r.ran() == 0 || s.proven(b.now, r.Class))
+		return other(s) && (len(r.attempts) > 0 || b.keepsTo(s)) && (r.ran() == 0 || s.proven(b.now, r.Class))
 	})
 	if x == nil || y == nil && len(r.attempts) == 0 { // a part of few endpoints may hold less than two
 		x, y = b.draw(r, other)
@@ -137,6 +137,10 @@
 	if x == nil && len(r.attempts) > 0 {
 		x = b.fleet.scan(b.random, ok)
 	}
+	if cold := b.due(r, other); cold != nil && (x == nil || cold.inFlight <= x.inFlight) {
+		b.send(r, cold)
+		return true
+	}
 	switch {
 	case x == nil:
 		return false
@@ -172,7 +176,8 @@
 func (b *Balancer) send(r *request, s *server) {
 	b.adm.retries -= indicator(r.ran() > 0 && !b.set.HostRetries)
 	s.inFlight++
-	s.kept, s.credit = b.now+b.set.ConnIdle/2, 0
+	s.kept = b.now + b.set.ConnIdle/2
+	b.spend(r, s)
 	patience := r.Upload + time.Duration(overduePart*float64(b.set.Classes[r.Class].Aim))
 	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: b.now, due: b.now + patience, open: true}
 	r.attempts = append(r.attempts, a)
@@ -316,6 +321,9 @@
 	}
 	c, work := &b.times[r.Class], b.work(r)
 	per := o.Elapsed.Seconds() / work
+	if !failed {
+		b.answered(r, a.server)
+	}
 	if !failed && per > 0 {
 		a.server.through = max(a.server.through, a.sent)
 		c.add(per, work)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -281,6 +281,8 @@
 		"key_scope":      func(s *Settings) { s.Classes[1].Scope = 200 },
 		"send_cap":       func(s *Settings) { s.MaxAttempts = 0 },
 		"start_capacity": func(s *Settings) { s.StartCapacity = 2 },
+		"fall_multiple":  func(s *Settings) { s.FallMultiple = -1 },
+		"fall_ms":        func(s *Settings) { s.FallTime = -1 },
 	}
 	for name, spoil := range cases {
 		set := settings()
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -61,6 +62,8 @@
 	DrainGrace    time.Duration // in which sends to an endpoint cease that drains or is gone; the host counts those after it
 	ColdTime      time.Duration // a started endpoint is warm after this
 	StartCapacity float64       // share of its capacity it starts with at least
+	FallMultiple  float64       // a cold endpoint falls that all sidecars send this many times what it can do; 0: not told
+	FallTime      time.Duration // if they do so for so long; 0: not told
 	MaxAttempts   int
 	HostRetries   bool // the host holds the retry budgets: what it has no room for ends as NotSent
 	SecondCopies  bool // two attempts of a request may be out together
@@ -88,5 +91,8 @@
 	if !(s.StartCapacity >= 0 && s.StartCapacity <= 1) {
 		return fmt.Errorf("settings: start_capacity %v is outside 0 to 1", s.StartCapacity)
 	}
+	if !(s.FallMultiple >= 0) || math.IsInf(s.FallMultiple, 0) || s.FallTime < 0 {
+		return fmt.Errorf("settings: fall_multiple %v or fall_ms %v is below 0", s.FallMultiple, s.FallTime)
+	}
 	return nil
 }
--- /dev/null
+++ b/policy/slowstart.go
@@ -0,0 +1,239 @@
+package policy
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+const (
+	// budgetUsed is the part of what the settings let a cold endpoint be sent that is meant to be
+	// used, and provenUsed that of it for what the endpoint answers itself. The rest of it is for its
+	// part of what others answer; the rest of the whole is for chance, and for what is measured late.
+	budgetUsed, provenUsed = 0.7, 0.31
+	// mostProven is the most of a request that a cold endpoint earns by one that it answers. Near 1
+	// it would be sent all that it can do, however little there is to do.
+	mostProven = 0.8
+	// emptier is how much of its chance an endpoint with next to nothing in flight gets of two that
+	// are drawn, over one that has as little.
+	emptier = 2.0
+	// defaultFallMultiple stands for a multiple that the settings don't tell.
+	defaultFallMultiple = 1.5
+	// unaided is the part of a cold endpoint's ability, as told by the usual answer time, that it is
+	// sent where there are next to no others, and so nothing to learn from.
+	unaided = 0.5
+	// growth is how much more than was answered cold endpoints are sent where there are next to no
+	// others: all of it being answered, they can do more.
+	growth = 0.35
+	// aloneOrder is the power of the part of the draws that is left to cold endpoints, for how far
+	// they are alone.
+	aloneOrder = 4.0
+	// promptPart is the part of a class's aim in which a request is answered where nothing is known.
+	promptPart = 0.25
+	// mostCredit bounds what is saved up for cold endpoints, in requests of mean work. All sidecars
+	// may spend theirs in the same moment.
+	mostCredit = 0.5
+	// mostAhead is how much more than one endpoint is due it may be sent, in requests of mean work,
+	// while all of them together are due more: keys don't fall evenly.
+	mostAhead = 3.0
+	// mostSaved bounds what all sidecars together have saved up for a cold endpoint, and mostWaiting
+	// what of that waits to be drawn for, in requests of mean work.
+	mostSaved, mostWaiting = 12.0, 2.0
+	// leastSaved is what each sidecar may save up all the same, in requests of mean work.
+	leastSaved = 0.1
+	// mostWork and leastWork bound what one request counts, in requests of mean work.
+	mostWork, leastWork = 4.0, 0.1
+)
+
+// slowStart shares out what endpoints that have started not long ago are sent, so that all
+// sidecars together keep within the budget of each, though none knows of the others. What is
+// answered is never more than what the endpoints can do, at any load, and the answers of all
+// sidecars add up to it. So each answer earns each cold endpoint its part of one request, and the
+// endpoint that gave it some more: the sum over all sidecars is then its part of what the others
+// can do, and a part of what it can do itself. Nothing else earns: bursts, retries and second
+// copies do not, unless they are answered.
+type slowStart struct {
+	answered float64 // requests of mean work, so far
+	alone    float64 // how far they are: near 1, next to all draws are left to them
+	cold     []*server
+	all      allowance // of all cold endpoints together; its part is the sum of theirs
+	warmth   float64   // the sum of theirs
+}
+
+// allowance is what one cold endpoint may be sent.
+type allowance struct {
+	part    float64 // of one request, for each that is answered
+	credit  float64 // requests of mean work; from 0 on it may be sent one
+	counted float64 // slowStart.answered, as credit was brought up to date
+	at      time.Duration
+}
+
+// newAllowance begins anywhere between two requests: sidecars that begin together don't send together.
+func (f *slowStart) newAllowance(now time.Duration, random func() float64) allowance {
+	return allowance{credit: -random(), counted: f.answered, at: now}
+}
+
+// due is the part of a request that the endpoint is due.
+func (a *allowance) due() float64 { return math.Min(math.Max(1+a.credit, 0), 1) }
+
+// adopt takes what another process knew to be due. What had been saved up there may have been spent.
+func (a *allowance) adopt(due float64) {
+	a.credit = math.Min(a.credit, due-1+mostCredit*indicator(due >= 1))
+}
+
+// isCold reports whether an endpoint may not be able to do all of its work yet.
+func (s *server) isCold(now time.Duration, set *Settings) bool { return s.warmth(now, set) < 1 }
+
+// fallMultiple is how many times what it can do a cold endpoint may be sent before it falls.
+func (set *Settings) fallMultiple() float64 { return cmp.Or(set.FallMultiple, defaultFallMultiple) }
+
+// gain is how much more than its part of the requests, by its lowest possible warmth, a cold
+// endpoint may be sent at most.
+func (set *Settings) gain() float64 { return set.fallMultiple()*budgetUsed - set.provenPart() }
+
+// provenPart is the part of a request that a cold endpoint earns by one that it answers: it may be
+// warmer than it has to be.
+func (set *Settings) provenPart() float64 {
+	return math.Min(set.fallMultiple()*provenUsed, mostProven)
+}
+
+// shareOut sets the parts of the cold endpoints, by their chances and by their sizes among those
+// that own admits, whichever is less. Chances go by health, too: where most others are unhealthy
+// they are no measure of what a cold endpoint can do.
+func (f *fleet) shareOut(now time.Duration, set *Settings, own func(*server) bool) {
+	var chances, coldChances, sizes float64
+	f.slowStart.cold = f.slowStart.cold[:0]
+	for _, s := range f.servers {
+		if !s.usable() || !own(s) {
+			continue
+		}
+		chances += s.chance
+		sizes += s.Nominal * s.warmth(now, set)
+		if s.isCold(now, set) {
+			coldChances += s.chance
+			f.slowStart.cold = append(f.slowStart.cold, s)
+		}
+	}
+	start := &f.slowStart
+	start.alone = math.Pow(coldChances/math.Max(chances, math.SmallestNonzeroFloat64), aloneOrder)
+	start.earn(&start.all, start.most(set.FleetSize), now, start.warmth, 0)
+	start.all.part, start.warmth = 0, 0
+	for _, s := range start.cold {
+		warm := s.warmth(now, set)
+		start.earn(&s.allowed, mostCredit, now, warm, 0)
+		byChance := emptier / (1 + warm) * s.chance / math.Max(chances, math.SmallestNonzeroFloat64)
+		bySize := set.gain() * s.Nominal * warm / sizes
+		s.allowed.part = math.Min(byChance, bySize) * (1 + growth*start.alone)
+		start.all.part += s.allowed.part
+		start.warmth += warm
+	}
+}
+
+// earn brings a credit up to date. unaidedRate is how many requests a second a warm endpoint may be
+// sent by this sidecar where there is nothing to learn from; 0: it is not known.
+func (f *slowStart) earn(a *allowance, most float64, now time.Duration, warmth, unaidedRate float64) {
+	earned := (f.answered - a.counted) * a.part
+	if unaidedRate > 0 {
+		earned += (now - a.at).Seconds() * unaidedRate * warmth * f.alone
+		a.at = now
+	}
+	a.credit = math.Min(a.credit+earned, most)
+	a.counted = f.answered
+}
+
+// most bounds what this sidecar saves up for all cold endpoints, one of size.
+func (f *slowStart) most(size int) float64 {
+	cold := float64(len(f.cold))
+	return math.Max(leastSaved, cold*math.Min(mostCredit, mostSaved/float64(size)))
+}
+
+// unaidedRate is the requests a second that a warm endpoint surely can do, for this sidecar alone:
+// one that works on one request at a time takes the usual time, or what such a request is told to
+// cost, for each.
+func (b *Balancer) unaidedRate(r *request) float64 {
+	usual := b.meanTime()
+	if usual <= 0 {
+		usual = cmp.Or(r.Cost, b.set.Classes[r.Class].Aim.Seconds()*promptPart)
+	}
+	return unaided * math.Min(1, b.set.fallMultiple()/2) / math.Max(usual*float64(b.set.FleetSize), math.SmallestNonzeroFloat32)
+}
+
+// earnCold brings the credits of cold endpoints up to date, for a request that comes.
+func (b *Balancer) earnCold(r *request) {
+	start := &b.fleet.slowStart
+	if len(start.cold) == 0 {
+		return
+	}
+	rate := b.unaidedRate(r)
+	start.earn(&start.all, start.most(b.set.FleetSize), b.now, start.warmth, rate)
+	for _, s := range start.cold {
+		start.earn(&s.allowed, mostCredit, b.now, s.warmth(b.now, &b.set), rate)
+	}
+}
+
+// withinBudget reports whether an attempt on an endpoint may begin now, as far as its start goes.
+func (b *Balancer) withinBudget(r *request, s *server) bool {
+	if !s.isCold(b.now, &b.set) {
+		return true
+	}
+	return b.fleet.slowStart.all.credit >= 0 && s.allowed.credit >= -mostAhead && (r.ran() == 0 || s.proven(b.now, r.Class))
+}
+
+// due is the cold endpoint that a request had best be sent to, where more was saved up for all of
+// them than draws have spent; nil: there is none.
+func (b *Balancer) due(r *request, ok func(*server) bool) (pick *server) {
+	start := &b.fleet.slowStart
+	waiting := mostWaiting * float64(len(start.cold)) / float64(b.set.FleetSize)
+	if start.all.credit < math.Min(waiting, leastSaved) {
+		return nil
+	}
+	best := 0.0
+	for _, s := range start.cold {
+		if s.chance <= 0 || s.allowed.credit < -1 || !s.isCold(b.now, &b.set) || !ok(s) {
+			continue
+		}
+		if rank := b.coldRank(r, s); pick == nil || rank > best {
+			pick, best = s, rank
+		}
+	}
+	return pick
+}
+
+// spend takes an attempt into what its endpoint is due.
+func (b *Balancer) spend(r *request, s *server) {
+	if s.isCold(b.now, &b.set) {
+		work := b.relativeWork(r)
+		s.allowed.credit -= work
+		b.fleet.slowStart.all.credit -= work
+	}
+}
+
+// coldRank orders the cold endpoints that are due: by key where one that met it serves with less
+// work, else by what they are due.
+func (b *Balancer) coldRank(r *request, s *server) float64 {
+	if b.set.WarmKeys && r.Key != "" {
+		return keyRank(r.key, s)
+	}
+	return s.allowed.credit
+}
+
+// answered takes an answer into what cold endpoints are due.
+func (b *Balancer) answered(r *request, by *server) {
+	work := b.relativeWork(r)
+	b.fleet.slowStart.answered += work
+	if by.isCold(b.now, &b.set) {
+		all := &b.fleet.slowStart.all
+		earned := math.Min(b.set.provenPart(), math.Max(1+growth-all.part, 0)) * work
+		by.allowed.credit = math.Min(by.allowed.credit+earned, mostCredit)
+		all.credit = math.Min(all.credit+earned, b.fleet.slowStart.most(b.set.FleetSize))
+	}
+}
+
+// relativeWork is a request's work over the mean.
+func (b *Balancer) relativeWork(r *request) float64 {
+	mean, its := b.meanTime(), b.expected(r)
+	if mean <= 0 || its <= 0 {
+		return 1
+	}
+	return math.Min(math.Max(its/mean, leastWork), mostWork)
+}
--- /dev/null
+++ b/policy/slowstart_test.go
@@ -0,0 +1,238 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// coldFleet is a fleet some of whose endpoints have just started. What each of those is sent by
+// all instances together is counted, in requests of mean work.
+type coldFleet struct {
+	*many
+	coldTime time.Duration
+	least    float64
+	multiple float64
+	started  []time.Duration // of each endpoint; 0: long ago
+	sent     [][]coldSend    // to each that is cold
+}
+
+type coldSend struct {
+	at   time.Duration
+	work float64 // over the mean
+}
+
+const (
+	coldFall     = time.Second // the time over which the settings count
+	coldMeanWork = 15 * time.Millisecond
+)
+
+// newColdFleet makes a fleet in which four of ten endpoints start in the first half second.
+func newColdFleet(t *testing.T, sidecars, endpoints int, seed uint64) *coldFleet {
+	c := &coldFleet{many: newFleetOf(t, sidecars, endpoints, seed), coldTime: 20 * time.Second, least: 0.13, multiple: 2}
+	c.now = time.Hour
+	c.started, c.sent = make([]time.Duration, endpoints), make([][]coldSend, endpoints)
+	for i := range c.endpoints {
+		if i%5 < 2 {
+			c.started[i] = c.now + time.Duration(c.rng.Int64N(int64(time.Second/2)))
+			c.endpoints[i].warmth = func() float64 { return c.warmth(i, c.now) }
+		}
+	}
+	c.attempt = func(i int, a Send) {
+		e := int(a.Endpoint)
+		if c.started[e] > 0 {
+			work := manyWork[c.class[[2]int{i, int(a.Request)}]]
+			c.sent[e] = append(c.sent[e], coldSend{c.now, float64(work) / float64(coldMeanWork)})
+		}
+		c.send(i, a)
+	}
+	return c
+}
+
+func (c *coldFleet) warmth(e int, at time.Duration) float64 {
+	return min(c.least+(1-c.least)*max(at-c.started[e], 0).Seconds()/c.coldTime.Seconds(), 1)
+}
+
+func (c *coldFleet) list() (l []Endpoint) {
+	for i := range c.endpoints {
+		l = append(l, Endpoint{ID: EndpointID(i), Cell: i / 4, Started: c.started[i]})
+	}
+	return l
+}
+
+// restart gives a sidecar a new process, which is told of the endpoints after a while.
+func (c *coldFleet) restart(t *testing.T, i int, told time.Duration) {
+	set := c.sidecars[i].set
+	set.ColdTime, set.StartCapacity, set.FallMultiple = c.coldTime, c.least, c.multiple
+	b, err := New(set, c.rng.Uint64())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.sidecars[i] = b
+	c.after(told, func() {
+		if c.sidecars[i] == b {
+			c.carryOut(i, b.Endpoints(c.now, c.list(), true))
+		}
+	})
+}
+
+// capacity is what all endpoints can do together at a time, in requests a second.
+func (c *coldFleet) capacity(at time.Duration) (sum float64) {
+	for i := range c.endpoints {
+		if c.started[i] > 0 {
+			sum += c.warmth(i, at)
+		} else {
+			sum++
+		}
+	}
+	return sum / coldMeanWork.Seconds()
+}
+
+// used is the largest part of its budget that any cold endpoint was sent within the time of
+// which the settings speak: N requests of mean work and what chance may add.
+func (c *coldFleet) used() (worst float64) {
+	for e, sent := range c.sent {
+		sum, from := 0.0, 0
+		for i := range sent {
+			sum += sent[i].work
+			for sent[i].at-sent[from].at >= coldFall {
+				sum -= sent[from].work
+				from++
+			}
+			n := c.multiple * c.warmth(e, sent[from].at) * coldFall.Seconds() / coldMeanWork.Seconds()
+			slack := 3*math.Sqrt(n) + 3
+			if n >= 30 {
+				slack = 2*math.Sqrt(n) + 2
+			}
+			worst = max(worst, sum/(n+slack))
+		}
+	}
+	return worst
+}
+
+// part is what cold endpoints were sent beside what they could do in the time.
+func (c *coldFleet) part(from, to time.Duration) float64 {
+	var sent, able float64
+	for e := range c.sent {
+		for _, s := range c.sent[e] {
+			if s.at >= from && s.at < to {
+				sent += s.work
+			}
+		}
+		if c.started[e] > 0 {
+			able += (c.warmth(e, from) + c.warmth(e, to)) / 2 * (to - from).Seconds() / coldMeanWork.Seconds()
+		}
+	}
+	return sent / able
+}
+
+// coldScenes are what a fleet may go through while endpoints are cold: its load by the time since
+// the beginning, over what it can do, and when its processes begin anew and are told.
+var coldScenes = map[string]struct {
+	load    func(since time.Duration) float64
+	restart func(c *coldFleet, t *testing.T)
+	decline bool // the endpoints that are warm decline one request in three
+	noWarm  bool // all endpoints are cold
+}{
+	"steady":                  {load: loadOf(0.6, 0.6)},
+	"a burst":                 {load: loadOf(0.6, 1)},
+	"a burst to thrice":       {load: loadOf(0.6, 1.8)},
+	"told over 5 s, a burst":  {load: loadOf(0.6, 1.8), restart: toldOver(5 * time.Second)},
+	"all restarted, a burst":  {load: loadOf(0.6, 1.8), restart: restartedAt(5 * time.Second)},
+	"some decline, a burst":   {load: loadOf(0.6, 1.8), decline: true},
+	"all are cold, a burst":   {load: loadOf(0.6, 1.8), noWarm: true},
+	"all are cold, too much":  {load: loadOf(1.8, 1.8), noWarm: true},
+	"quiet and then too much": {load: loadOf(0.05, 1.8)},
+}
+
+// loadOf is a load that is another from 5 to 8 s.
+func loadOf(usual, burst float64) func(time.Duration) float64 {
+	return func(since time.Duration) float64 {
+		if since >= 5*time.Second && since < 8*time.Second {
+			return burst
+		}
+		return usual
+	}
+}
+
+func toldOver(d time.Duration) func(*coldFleet, *testing.T) {
+	return func(c *coldFleet, t *testing.T) {
+		for i := range c.sidecars {
+			c.restart(t, i, time.Second/2+d*time.Duration(i)/time.Duration(len(c.sidecars)))
+		}
+	}
+}
+
+func restartedAt(at time.Duration) func(*coldFleet, *testing.T) {
+	return func(c *coldFleet, t *testing.T) {
+		toldOver(0)(c, t)
+		c.after(at, func() {
+			for i := range c.sidecars {
+				c.restart(t, i, time.Duration(c.rng.Int64N(int64(time.Second))))
+			}
+		})
+	}
+}
+
+// playCold plays a scene and returns the fleet as it was at the end.
+func playCold(t *testing.T, name string, sidecars int, seed uint64) *coldFleet {
+	scene := coldScenes[name]
+	endpoints := max(min(sidecars, 20), 10)
+	c := newColdFleet(t, sidecars, endpoints, seed)
+	if scene.noWarm {
+		for i := range c.endpoints {
+			c.started[i] = c.now + 1
+			c.endpoints[i].warmth = func() float64 { return c.warmth(i, c.now) }
+		}
+	}
+	if scene.restart != nil {
+		scene.restart(c, t)
+	} else {
+		toldOver(0)(c, t)
+	}
+	if scene.decline {
+		send := c.attempt
+		c.attempt = func(i int, a Send) {
+			if c.started[a.Endpoint] > 0 || c.rng.IntN(3) > 0 {
+				send(i, a)
+				return
+			}
+			key := [2]int{i, int(a.Request)}
+			n := c.attempts[key]
+			c.attempts[key]++
+			c.after(time.Millisecond, func() {
+				_, still := c.class[key]
+				c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: TurnedAway, Complete: !still, Elapsed: time.Millisecond}))
+			})
+		}
+	}
+	c.runAt(func(since time.Duration) float64 { return scene.load(since) * c.capacity(c.now) }, 10*time.Second)
+	return c
+}
+
+// Sidecars that share nothing sent cold endpoints all that a burst brought: each is within its
+// budget, for the sum of all, and is sent what warms it up.
+func TestBurstDoesNotPushColdEndpointsOver(t *testing.T) {
+	seeds, _ := strconv.Atoi(os.Getenv("COLD_SEEDS"))
+	for name := range coldScenes {
+		for _, sidecars := range []int{1, 5, 30, 300} {
+			t.Run(fmt.Sprintf("%s, %d sidecars", name, sidecars), func(t *testing.T) {
+				t.Parallel()
+				worst, least, most := 0.0, math.Inf(1), 0.0
+				for seed := range max(seeds, 1) {
+					c := playCold(t, name, sidecars, uint64(seed))
+					worst = max(worst, c.used())
+					part := c.part(time.Hour+time.Second, time.Hour+5*time.Second)
+					least, most = min(least, part), max(most, part)
+				}
+				t.Logf("at most %.2f of the budget; %.2f to %.2f of what they can do before the burst", worst, least, most)
+				if worst > 1 {
+					t.Errorf("a cold endpoint was sent %.2f of its budget", worst)
+				}
+			})
+		}
+	}
+}
