--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -10,7 +10,7 @@
 	// budgetUsed is the part of what the settings let a cold endpoint be sent that is meant to be
 	// used, and provenUsed that of it for what the endpoint answers itself. The rest of it is for its
 	// part of what others answer; the rest of the whole is for chance, and for what is measured late.
-	budgetUsed, provenUsed = 0.7, 0.31
+	budgetUsed, provenUsed = 0.66, 0.3
 	// mostProven is the most of a request that a cold endpoint earns by one that it answers. Near 1
 	// it would be sent all that it can do, however little there is to do.
 	mostProven = 0.8
