--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -37,6 +37,8 @@
 	renewals = "Test(RenewedInTimeThoughCallsAreRefused|RefusedOnceMoreAsDiscoveryComesBack)"
 	watches  = "TestSlowDiscoveryIsHeard"
 
+	starts = "Test(BurstDoesNotPushColdEndpointsOver|ManyMeetReplacedEndpoints|ColdServersAreSparedWhileMostIsTurnedAway|HeldForProbesAndOverItsBudget)"
+
 	budgets = "TestEveryOrder"
 	charges = "TestChargesInEveryOrder"
 	courses = "TestCourseInEveryOrder"
@@ -183,6 +185,18 @@
 	{"internal/core/started.go", "		at = max(at, now-since-listedWithin)\n", "", clocks, "TestSlowStartThoughTheClockWasSet"},
 	{"internal/core/started.go", "min(time.Duration(told)*time.Millisecond, now)", "time.Duration(told) * time.Millisecond", clocks, "TestSlowStartThoughTheClockWasSet"},
 	{"internal/core/started.go", "	if before, ok := s.gone[id]; ok && before.told == told {\n		return before\n	}\n", "", clocks, "TestSlowStartThoughTheClockWasSet"},
+	{"policy/slowstart.go", "(f.answered - a.counted) * a.part", "3 * (f.answered - a.counted) * a.part", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "		b.fleet.slowStart.all.credit -= work\n", "", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "b.fleet.slowStart.all.credit >= 0 && ", "", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "math.Min(a.credit+earned, most)", "a.credit + earned", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "credit: -random(), ", "credit: 1, ", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "unaidedRate * warmth * f.alone", "unaidedRate * warmth * 40", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "math.Min(b.set.provenPart(), math.Max(1+growth-all.part, 0)) * work", "2 * work", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "math.Max(leastSaved, cold*math.Min(mostCredit, mostSaved/float64(size)))", "8", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "	b.fleet.slowStart.answered += work\n", "", starts, "TestManyMeetReplacedEndpoints"},
+	{"policy/request.go", "ok := func(s *server) bool { return b.maySend(r, s) && b.withinBudget(r, s) }", "ok := func(s *server) bool { return b.maySend(r, s) }", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/request.go", "	b.spend(r, s)\n", "", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/probe.go", " && b.withinBudget(r, s) }", " }", starts, "TestHeldForProbesAndOverItsBudget"},
 	{"policy/discovery.go", "n.current == 0 || age >= currentFor", "true", renewals, "TestRenewedInTimeThoughCallsAreRefused"},
 	{"policy/discovery.go", "drift-n.part", "drift+n.part", renewals, "TestRefusedOnceMoreAsDiscoveryComesBack"},
 	{"policy/discovery.go", "max(watchSpread-age, shortestLost)", "shortestLost", renewals, "TestRenewedInTimeThoughCallsAreRefused"},
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -236,3 +236,26 @@
 		}
 	}
 }
+
+// A request that waited for probes was sent to a cold endpoint that others had sent its budget meanwhile.
+func TestHeldForProbesAndOverItsBudget(t *testing.T) {
+	set := settings()
+	set.MayProbe, set.Report, set.ColdTime, set.StartCapacity = true, []Field{FieldRate, FieldInFlight}, time.Minute, 0.5
+	b := start(t, set)
+	list := fleetOf(2)
+	list[1].Started = time.Hour
+	b.Endpoints(time.Hour, list, true)
+	b.fleet.slowStart.all.credit = 0
+	held := b.Request(time.Hour, Request{ID: 1, Left: 200 * ms})
+	if len(b.waiting) != 1 {
+		t.Fatalf("%v: nothing waits for probes", held)
+	}
+	b.fleet.slowStart.all.credit = -1
+	b.Probed(time.Hour+ms, ProbeResult{Endpoint: list[0].ID, Report: []float64{100, 3}})
+	for _, a := range b.Probed(time.Hour+ms, ProbeResult{Endpoint: list[1].ID, Report: []float64{100, 0}}) {
+		if s, ok := a.(Send); ok && s.Endpoint == list[0].ID {
+			return
+		}
+	}
+	t.Error("it was not sent to the endpoint that is warm")
+}
