--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -74,11 +74,25 @@
 			return time.Since(begun), nil
 		}
 		if err != nil {
-			return 0, err
+			return 0, p.whetherEnded(err)
 		}
 	}
 }
 
+// endSeen is how long a process that resets its callers as it ends may take to be seen as ended.
+const endSeen = 200 * time.Millisecond
+
+// whetherEnded has an error of a call also tell whether the process has ended: a call that is
+// reset looks the same.
+func (p *Process) whetherEnded(err error) error {
+	select {
+	case <-p.Ended:
+		return fmt.Errorf("%w; the process has ended", err)
+	case <-time.After(endSeen):
+		return fmt.Errorf("%w; the process goes on", err)
+	}
+}
+
 // Stop asks the process to end, and kills it after the time that it is owed.
 func (p *Process) Stop(owed time.Duration) {
 	p.Signal(syscall.SIGTERM)
