policy: a popular key is spread over the cold endpoints that are due

What all cold endpoints together were due went to the one that ranks first for the request's key, at every sidecar the same one. Now it goes to the one that is due most, and by key only among those that are due themselves; draws spread a popular key over more endpoints as ever.

TestPopularKeyDoesNotPushOneColdEndpointOver has 100 sidecars choose.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -37,7 +37,7 @@
 	renewals = "Test(RenewedInTimeThoughCallsAreRefused|RefusedOnceMoreAsDiscoveryComesBack)"
 	watches  = "TestSlowDiscoveryIsHeard"
 
-	starts = "Test(BurstDoesNotPushColdEndpointsOver|ManyMeetReplacedEndpoints|ColdServersAreSparedWhileMostIsTurnedAway|HeldForProbesAndOverItsBudget)"
+	starts = "Test(BurstDoesNotPushColdEndpointsOver|ManyMeetReplacedEndpoints|ColdServersAreSparedWhileMostIsTurnedAway|HeldForProbesAndOverItsBudget|PopularKeyDoesNotPushOneColdEndpointOver)"
 
 	budgets = "TestEveryOrder"
 	charges = "TestChargesInEveryOrder"
@@ -193,6 +193,7 @@
 	{"policy/slowstart.go", "unaidedRate * warmth * f.alone", "unaidedRate * warmth * 40", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "math.Min(b.set.provenPart(), math.Max(1+growth-all.part, 0)) * work", "2 * work", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "math.Max(leastSaved, cold*math.Min(mostCredit, mostSaved/float64(size)))", "8", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "s.allowed.credit >= 0 && than.allowed.credit >= 0", "true", starts, "TestPopularKeyDoesNotPushOneColdEndpointOver"},
 	{"policy/slowstart.go", "	b.fleet.slowStart.answered += work\n", "", starts, "TestManyMeetReplacedEndpoints"},
 	{"policy/request.go", "ok := func(s *server) bool { return b.maySend(r, s) && b.withinBudget(r, s) }", "ok := func(s *server) bool { return b.maySend(r, s) }", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/request.go", "	b.spend(r, s)\n", "", starts, "TestBurstDoesNotPushColdEndpointsOver"},
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -187,18 +187,27 @@
 	if start.all.credit < math.Min(waiting, leastSaved) {
 		return nil
 	}
-	best := 0.0
 	for _, s := range start.cold {
 		if s.chance <= 0 || s.allowed.credit < -1 || !s.isCold(b.now, &b.set) || !ok(s) {
 			continue
 		}
-		if rank := b.coldRank(r, s); pick == nil || rank > best {
-			pick, best = s, rank
+		if pick == nil || b.rathers(r, s, pick) {
+			pick = s
 		}
 	}
 	return pick
 }
 
+// rathers reports whether a request had better go to one cold endpoint than to another: to the one
+// that is due most, but where both are due themselves to the one that ranks first for its key. What
+// it guards against: all sidecars sent what had a popular key to the first of all cold endpoints.
+func (b *Balancer) rathers(r *request, s, than *server) bool {
+	if b.set.WarmKeys && r.Key != "" && s.allowed.credit >= 0 && than.allowed.credit >= 0 {
+		return keyRank(r.key, s) > keyRank(r.key, than)
+	}
+	return s.allowed.credit > than.allowed.credit
+}
+
 // spend takes an attempt into what its endpoint is due.
 func (b *Balancer) spend(r *request, s *server) {
 	if s.isCold(b.now, &b.set) {
@@ -208,15 +217,6 @@
 	}
 }
 
-// coldRank orders the cold endpoints that are due: by key where one that met it serves with less
-// work, else by what they are due.
-func (b *Balancer) coldRank(r *request, s *server) float64 {
-	if b.set.WarmKeys && r.Key != "" {
-		return keyRank(r.key, s)
-	}
-	return s.allowed.credit
-}
-
 // answered takes an answer into what cold endpoints are due.
 func (b *Balancer) answered(r *request, by *server) {
 	work := b.relativeWork(r)
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -259,3 +259,30 @@
 	}
 	t.Error("it was not sent to the endpoint that is warm")
 }
+
+// All sidecars sent what had a popular key to the cold endpoint that ranks first for it.
+func TestPopularKeyDoesNotPushOneColdEndpointOver(t *testing.T) {
+	first := map[EndpointID]int{}
+	for seed := range uint64(100) {
+		set := settings()
+		set.WarmKeys, set.ColdTime, set.StartCapacity, set.FleetSize = true, time.Minute, 0.1, 100
+		b, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := fleetOf(20)
+		for i := range list[:10] {
+			list[i].Started = time.Hour
+		}
+		b.Endpoints(time.Hour, list, true)
+		b.refresh(0)
+		r := &request{Request: Request{Key: "popular"}, key: hashKey("popular")}
+		b.fleet.slowStart.all.credit = mostCredit
+		first[b.due(r, func(*server) bool { return true }).ID]++
+	}
+	for id, n := range first {
+		if n > 25 {
+			t.Errorf("%d of 100 sidecars send it to endpoint %d", n, id)
+		}
+	}
+}
