--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -76,9 +76,12 @@
 // due is the part of a request that the endpoint is due.
 func (a *allowance) due() float64 { return math.Min(math.Max(1+a.credit, 0), 1) }
 
-// adopt takes what another process knew to be due. What had been saved up there may have been spent.
+// adopt takes what another process knew to be due. What it had saved up beyond one request is
+// not taken: it may have been spent there.
 func (a *allowance) adopt(due float64) {
-	a.credit = math.Min(a.credit, due-1+mostCredit*indicator(due >= 1))
+	if due != a.due() {
+		a.credit = due - 1
+	}
 }
 
 // isCold reports whether an endpoint may not be able to do all of its work yet.
