--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -300,7 +300,7 @@
 	}
 	output, _ := exec.Command("go", args...).CombinedOutput()
 	found := end.FindSubmatch(output)
-	if slices.Contains([]string{measures, losses, effects, gates, drains, clocks, renewals, watches}, m.test) { // each test is a property
+	if slices.Contains([]string{measures, losses, effects, gates, drains, clocks, renewals, watches, starts}, m.test) { // each test is a property
 		found = failed.FindSubmatch(output)
 	}
 	if found == nil {
