policy: prompt answers of cold endpoints don't hide an overload of the others

Cause: the part of the requests that is admitted goes by the answers of all endpoints. Cold ones are held back by their budget, so they answer promptly however many requests there are, and each of those answers had more admitted, all of which went to the warm ones. Before the budget cold endpoints were as full as the others, and told as much.

--- a/policy/request.go
+++ b/policy/request.go
@@ -305,7 +305,10 @@
 	failed, was := o.Result != Served, a.server.healthAt(b.now, r.Class)
 	late := failed || o.Elapsed > b.set.Classes[r.Class].Aim
 	b.fleet.served.value += (indicator(!failed) - b.fleet.served.value) * was * 3 / sampleMemory
-	b.adm.answered(!failed, late)
+	tells := b.tellsOfRoom(a.server)
+	if tells {
+		b.adm.answered(!failed, late)
+	}
 	if !a.late {
 		keeps := 1 - (1-failureKeeps)*indicator(failed)
 		switch {
@@ -315,7 +318,7 @@
 			keeps = a.server.lateKeeps(b.now, r.Class)
 		}
 		b.fleet.observe(a.server, r.Class, b.now, keeps)
-		if !failed || o.Result == NoAnswer {
+		if tells && (!failed || o.Result == NoAnswer) {
 			b.adm.outcome(b.now, late, was)
 		}
 	}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -28,6 +28,8 @@
 	// aloneOrder is the power of the part of the draws that is left to cold endpoints, for how far
 	// they are alone.
 	aloneOrder = 4.0
+	// mostlyAlone is how far alone cold endpoints are that tell for all: two thirds of the draws are theirs.
+	mostlyAlone = 0.2
 	// promptPart is the part of a class's aim in which a request is answered where nothing is known.
 	promptPart = 0.25
 	// mostCredit bounds what is saved up for cold endpoints, in requests of mean work. All sidecars
@@ -54,7 +56,7 @@
 // copies do not, unless they are answered.
 type slowStart struct {
 	answered float64 // requests of mean work, so far
-	alone    float64 // how far they are: near 1, next to all draws are left to them
+	alone    float64 // how far cold ones are: near 1, next to all draws are left to them
 	cold     []*server
 	all      allowance // of all cold endpoints together; its part is the sum of theirs
 	warmth   float64   // the sum of theirs
@@ -232,6 +234,13 @@
 	}
 }
 
+// tellsOfRoom reports whether an answer of an endpoint tells that the fleet has room for more requests, or that it has
+// none. A cold one that is held back answers in time, and what is admitted more goes to the others: it counts where
+// there are next to no others.
+func (b *Balancer) tellsOfRoom(s *server) bool {
+	return !s.isCold(b.now, &b.set) || b.fleet.slowStart.alone > mostlyAlone
+}
+
 // relativeWork is a request's work over the mean.
 func (b *Balancer) relativeWork(r *request) float64 {
 	mean, its := b.meanTime(), b.expected(r)
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// failWarm has attempts on warm endpoints end after a millisecond where fails tells so.
+func (c *coldFleet) failWarm(result Result, fails func(EndpointID) bool) {
+	send := c.attempt
+	c.attempt = func(i int, a Send) {
+		if c.started[a.Endpoint] > 0 || !fails(a.Endpoint) {
+			send(i, a)
+			return
+		}
+		key := [2]int{i, int(a.Request)}
+		n := c.attempts[key]
+		c.attempts[key]++
+		c.after(time.Millisecond, func() {
+			_, still := c.class[key]
+			c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: result, Complete: !still, Elapsed: time.Millisecond}))
+		})
+	}
+}
+
 // playCold plays a scene and returns the fleet as it was at the end.
 func playCold(t *testing.T, name string, sidecars int, seed uint64) *coldFleet {
 	scene := coldScenes[name]
@@ -194,20 +212,7 @@
 		toldOver(0)(c, t)
 	}
 	if scene.decline {
-		send := c.attempt
-		c.attempt = func(i int, a Send) {
-			if c.started[a.Endpoint] > 0 || c.rng.IntN(3) > 0 {
-				send(i, a)
-				return
-			}
-			key := [2]int{i, int(a.Request)}
-			n := c.attempts[key]
-			c.attempts[key]++
-			c.after(time.Millisecond, func() {
-				_, still := c.class[key]
-				c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: TurnedAway, Complete: !still, Elapsed: time.Millisecond}))
-			})
-		}
+		c.failWarm(TurnedAway, func(EndpointID) bool { return c.rng.IntN(3) == 0 })
 	}
 	c.runAt(func(since time.Duration) float64 { return scene.load(since) * c.capacity(c.now) }, 10*time.Second)
 	return c
@@ -286,3 +291,62 @@
 		}
 	}
 }
+
+// answerOf has a request of class 0 end at an endpoint, after a time.
+func answerOf(b *Balancer, s *server, elapsed time.Duration) {
+	r := &request{Request: Request{Left: time.Second}, arrived: b.now}
+	a := attempt{server: s, sent: b.now, open: true}
+	b.learn(r, &a, Outcome{Endpoint: s.ID, Result: Served, Complete: true, Elapsed: elapsed})
+}
+
+// halfCold is an instance before ten endpoints, of which the first few have just started.
+func halfCold(t *testing.T, cold int) *Balancer {
+	set := settings()
+	set.ColdTime, set.StartCapacity = time.Hour, 0.1
+	b := start(t, set)
+	list := fleetOf(10)
+	for i := range list[:cold] {
+		list[i].Started = time.Hour
+	}
+	b.Endpoints(time.Hour, list, true)
+	b.refresh(0)
+	return b
+}
+
+// Warm endpoints were pushed into an overload: cold ones that are held back answer promptly, and that counted as room.
+func TestPromptColdEndpointsDoNotHideAnOverload(t *testing.T) {
+	admitted := func(prompt bool) (sum float64) {
+		const rounds = 200
+		b := halfCold(t, 5)
+		for i := range rounds {
+			b.now += 100 * ms
+			b.refresh(0)
+			if prompt {
+				answerOf(b, b.fleet.servers[i%5], b.set.Classes[0].Aim*9/10)
+			}
+			elapsed := b.set.Classes[0].Aim * 9 / 10
+			if i%4 > 0 {
+				elapsed = b.set.Classes[0].Aim * 11 / 10
+			}
+			answerOf(b, b.fleet.servers[5+i%5], elapsed) // most answers of the warm ones are late
+			sum += b.adm.level / rounds
+		}
+		return sum
+	}
+	without, with := admitted(false), admitted(true)
+	if t.Logf("%.2f of the requests are admitted, %.2f with prompt answers of cold endpoints", without, with); with > without+0.1 {
+		t.Error("prompt answers of cold endpoints had more requests admitted")
+	}
+}
+
+// Shedding went on for ever where all that is drawn is cold, and none of it counted.
+func TestSheddingEndsWhereOnlyColdEndpointsAnswer(t *testing.T) {
+	b := halfCold(t, 10)
+	b.adm.level, b.adm.pressure, b.adm.tardy = 0.2, 0.9, 0.9
+	for range 40 {
+		answerOf(b, b.fleet.servers[0], ms)
+	}
+	if b.adm.level < 0.9 {
+		t.Errorf("%.2f of the requests are admitted, with every answer prompt", b.adm.level)
+	}
+}
