policy: endpoints that refuse connections are not counted among those that answer

An endpoint whose latest attempt was not connected, and that has answered nothing since, is left out of the sum. An answer puts it back, so one that is full for a moment counts.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -113,7 +113,9 @@
 			continue
 		}
 		chances += s.chance
-		sizes += s.Nominal * s.warmth(now, set)
+		if !s.refused { // it answers nothing that would count
+			sizes += s.Nominal * s.warmth(now, set)
+		}
 		if s.isCold(now, set) {
 			coldChances += s.chance
 			f.slowStart.cold = append(f.slowStart.cold, s)
@@ -127,7 +129,7 @@
 		warm := s.warmth(now, set)
 		start.earn(&s.allowed, mostCredit, now, warm, 0)
 		byChance := emptier / (1 + warm) * s.chance / math.Max(chances, math.SmallestNonzeroFloat64)
-		bySize := set.gain() * s.Nominal * warm / sizes
+		bySize := set.gain() * s.Nominal * warm / math.Max(sizes, s.Nominal*warm)
 		s.allowed.part = math.Min(byChance, bySize) * (1 + growth*start.alone)
 		start.all.part += s.allowed.part
 		start.warmth += warm
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -135,6 +135,7 @@
 	load    func(since time.Duration) float64
 	restart func(c *coldFleet, t *testing.T)
 	decline bool // the endpoints that are warm decline one request in three
+	down    bool // half of the warm endpoints refuse connections from the burst on
 	noWarm  bool // all endpoints are cold
 }{
 	"steady":                  {load: loadOf(0.6, 0.6)},
@@ -143,6 +144,7 @@
 	"told over 5 s, a burst":  {load: loadOf(0.6, 1.8), restart: toldOver(5 * time.Second)},
 	"all restarted, a burst":  {load: loadOf(0.6, 1.8), restart: restartedAt(5 * time.Second)},
 	"some decline, a burst":   {load: loadOf(0.6, 1.8), decline: true},
+	"some are down, a burst":  {load: loadOf(0.6, 1.8), down: true},
 	"all are cold, a burst":   {load: loadOf(0.6, 1.8), noWarm: true},
 	"all are cold, too much":  {load: loadOf(1.8, 1.8), noWarm: true},
 	"quiet and then too much": {load: loadOf(0.05, 1.8)},
@@ -214,6 +216,9 @@
 	if scene.decline {
 		c.failWarm(TurnedAway, func(EndpointID) bool { return c.rng.IntN(3) == 0 })
 	}
+	if scene.down {
+		c.failWarm(NoConnection, func(id EndpointID) bool { return id%2 == 0 && c.now >= time.Hour+5*time.Second })
+	}
 	c.runAt(func(since time.Duration) float64 { return scene.load(since) * c.capacity(c.now) }, 10*time.Second)
 	return c
 }
