lab/process: give addresses that no fork can copy and none twice while in use

Callers of a process that had just started were reset ("read tcp ...: connection reset by peer; the process goes on"), or the process could not listen at its address and ended.

Cause: FreeAddrOf listened at a port, closed it and gave it away. A process that is forked meanwhile has a copy of that listener up to its exec, so the first call is connected to a queue that nobody accepts from, and is reset as the exec closes the copy; whoever binds the address meanwhile finds it in use. The federation's gateways are started side by side, so each of them is forked beside the others' listeners. Nothing remembered what was given either: an address could be given twice before it was used, and bench/trial compared neither a front's with those of its starts.

TakeAddr is now the one way, in all rigs, and remembers what it gave up to GiveBack. It opens no listener: it binds a socket to find whether somebody has the address, under syscall.ForkLock, which a fork takes for writing, so that no process gets a copy; a copy would refuse calls, but keep the address in use. The host is of 127.64.0.0/10 with this process's number in it, so that test binaries that run beside one another have hosts of their own, and ports lie below those of outgoing calls, which go out from 127.0.0.1 besides: nobody takes an address while its process is down. Ports go round, so what was given back longest ago is given first. Considered: a listener that stays open and is handed to the process (the program under test would be another one than what is deployed), and a lock file for each host (it needs a folder that all rigs share).

process.Start takes a second address by itself, up to the process's end. The registry of cmd/spokegw's tests, which one of them ends and starts again where it was, has such an address too.

--- a/bench/overload/main.go
+++ b/bench/overload/main.go
@@ -90,10 +90,11 @@
 		return err
 	}
 	defer backends.Close()
-	listen, err := process.FreeAddr()
+	listen, err := process.TakeAddr()
 	if err != nil {
 		return err
 	}
+	defer process.GiveBack(listen)
 	p, err := start(dir, listen, backends.Registry, backends.Endpoints, c)
 	if err != nil {
 		return err
@@ -124,15 +125,11 @@
 			return nil, err
 		}
 	}
-	management, err := process.FreeAddr()
-	if err != nil {
-		return nil, err
-	}
 	env := []string{"NODE_CONFIG=" + filepath.Join(dir, "config.json"), "SPOKEGW_OPERATOR=" + filepath.Join(dir, "operator.toml"), "TMPDIR=" + dir}
 	if c.verbose {
-		return process.Start(c.program, management, env, os.Stderr)
+		return process.Start(c.program, "", env, os.Stderr)
 	}
-	return process.Start(c.program, management, env, nil)
+	return process.Start(c.program, "", env, nil)
 }
 
 // drive has clients ask until ctx ends; it returns their loads by class.
--- a/bench/upgrade/main.go
+++ b/bench/upgrade/main.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	defer backends.Close()
-	listen, err := process.FreeAddr()
+	listen, err := process.TakeAddr()
 	if err != nil {
 		return err
 	}
@@ -193,10 +193,6 @@
 
 // start starts a process, and returns how long it took to say yes.
 func start(dir, config string, n int) (*process.Process, time.Duration, error) {
-	management, err := process.FreeAddr()
-	if err != nil {
-		return nil, 0, err
-	}
 	folder := dir
 	if *alone {
 		folder = filepath.Join(dir, strconv.Itoa(n))
@@ -208,7 +204,7 @@
 	if *verbose {
 		log = os.Stderr
 	}
-	p, err := process.Start(*program, management, []string{"NODE_CONFIG=" + config, "TMPDIR=" + folder}, log)
+	p, err := process.Start(*program, "", []string{"NODE_CONFIG=" + config, "TMPDIR=" + folder}, log)
 	if err != nil {
 		return nil, 0, fmt.Errorf("%w; go build -o bin/ ./cmd/spokegw makes it", err)
 	}
--- a/cmd/spokegw/upgrade_test.go
+++ b/cmd/spokegw/upgrade_test.go
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.endpoint.Close)
-	if s.registry, err = lab.StartRegistry(scene.Entries(s.endpoint), nil); err != nil {
+	if s.registry, err = lab.StartRegistryAt(freeAddr(t), scene.Entries(s.endpoint), nil); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.registry.Close)
@@ -62,13 +62,14 @@
 	return s
 }
 
-// freeAddr is an address that was free just now.
+// freeAddr is an address that is the test's up to its end.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	addr, err := process.FreeAddr()
+	addr, err := process.TakeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { process.GiveBack(addr) })
 	return addr
 }
 
@@ -122,10 +123,10 @@
 
 func (s *site) start() *running {
 	s.t.Helper()
-	return s.startAt(freeAddr(s.t))
+	return s.startAt("")
 }
 
-// startAt starts a process with a second address.
+// startAt starts a process with a second address; "": one of its own.
 func (s *site) startAt(management string) *running {
 	s.t.Helper()
 	p, err := process.Start(s.program, management, []string{
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +14,7 @@
 	"spokegw/internal/fleet/message"
 	"spokegw/internal/fleet/quota"
 	"spokegw/internal/fleet/rank"
+	"spokegw/internal/lab/process"
 )
 
 func TestMain(m *testing.M) {
@@ -58,12 +58,12 @@
 }
 
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := process.TakeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { process.GiveBack(addr) })
+	return addr
 }
 
 // member is one of a fleet within this process.
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -13,6 +13,7 @@
 
 	"spokegw/internal/lab"
 	"spokegw/internal/lab/links"
+	"spokegw/internal/lab/process"
 )
 
 // Config is what a federation is made of.
@@ -111,15 +112,14 @@
 	g := &Gateway{Number: len(f.Gateways), Partner: partner, of: f}
 	g.Name = fmt.Sprint("g", g.Number)
 	g.dir, g.load = filepath.Join(f.Dir, g.Name), g.newLoad()
+	f.Gateways = append(f.Gateways, g)
 	var err error
-	g.host = fmt.Sprintf("127.0.%d.%d", 1+g.Number/200, 10+g.Number%200)
-	if g.listen, err = g.freeAddr(); err == nil {
-		g.fleet, err = g.freeAddr()
+	if g.listen, err = process.TakeAddr(); err == nil {
+		g.fleet, err = process.TakeAddr()
 	}
 	if err != nil {
 		return err
 	}
-	f.Gateways = append(f.Gateways, g)
 	return os.MkdirAll(g.dir, 0o700)
 }
 
@@ -192,6 +192,8 @@
 			p.Kill()
 			<-p.Ended
 		}
+		process.GiveBack(g.listen)
+		process.GiveBack(g.fleet)
 	}
 	for _, row := range f.links {
 		for _, l := range row {
--- a/internal/lab/federation/gateway.go
+++ b/internal/lab/federation/gateway.go
@@ -27,7 +27,6 @@
 	Partner int
 	of      *Federation
 	dir     string
-	host    string // of the loopback, its own
 	listen  string
 	fleet   string
 
@@ -42,17 +41,6 @@
 // span is a time since the federation began; an end of 0: it lasts.
 type span struct{ from, to time.Duration }
 
-// freeAddr is a free address of the gateway's host that is not to be another one of its
-// addresses, which nobody has while its process is down.
-func (g *Gateway) freeAddr() (string, error) {
-	for {
-		addr, err := process.FreeAddrOf(g.host)
-		if err != nil || addr != g.listen && addr != g.fleet {
-			return addr, err
-		}
-	}
-}
-
 // configure writes a gateway's files.
 func (g *Gateway) configure() error {
 	f, size := g.of, 0
@@ -111,12 +99,8 @@
 // Start starts a gateway's process, and waits until it serves.
 func (g *Gateway) Start() error {
 	f := g.of
-	management, err := g.freeAddr()
-	if err != nil {
-		return err
-	}
 	env := append(slices.Clone(f.Env), "NODE_CONFIG="+filepath.Join(g.dir, "config.json"), "SPOKEGW_OPERATOR="+filepath.Join(g.dir, "operator.toml"), "TMPDIR="+g.dir)
-	p, err := process.Start(f.Program, management, env, f.Log)
+	p, err := process.Start(f.Program, "", env, f.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/killing/killing.go
+++ b/internal/lab/killing/killing.go
@@ -110,16 +110,17 @@
 		return Report{}, err
 	}
 	defer p.registry.Close()
+	if p.listen, err = process.TakeAddr(); err != nil {
+		return Report{}, err
+	}
+	defer process.GiveBack(p.listen)
 	if err := p.configure(endpoints); err != nil {
 		return Report{}, err
 	}
 	return p.rounds(ctx)
 }
 
-func (p *play) configure(endpoints []*lab.Endpoint) (err error) {
-	if p.listen, err = process.FreeAddr(); err != nil {
-		return err
-	}
+func (p *play) configure(endpoints []*lab.Endpoint) error {
 	config := scene.Configuration(scene.Platform{
 		Name: "n0", Listen: p.listen, Registry: p.registry.Addr(), Endpoints: endpoints, SecondCopies: true,
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": window.Milliseconds(),
@@ -187,15 +188,11 @@
 const faults = 4
 
 func (p *play) start(ctx context.Context) (*process.Process, time.Duration, error) {
-	management, err := process.FreeAddr()
-	if err != nil {
-		return nil, 0, err
-	}
 	log := p.Log
 	if log == nil {
 		log = io.Discard
 	}
-	proc, err := process.Start(p.Program, management, append([]string{
+	proc, err := process.Start(p.Program, "", append([]string{
 		"NODE_CONFIG=" + filepath.Join(p.Dir, "config.json"), "SPOKEGW_OPERATOR=" + filepath.Join(p.Dir, "operator.toml"), "TMPDIR=", "SPOKEGW_STATE=" + p.Dir,
 	}, p.Env...), io.MultiWriter(log, &p.tally))
 	if err != nil {
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -24,17 +24,28 @@
 }
 
 // Start starts a program with a second address, further variables of its
-// environment, and the output of its log; nil: nowhere.
+// environment, and the output of its log; nil: nowhere. A second address of "" is one
+// that TakeAddr gives, up to the process's end.
 func Start(program, management string, env []string, log io.Writer) (*Process, error) {
+	taken := ""
+	if management == "" {
+		var err error
+		if taken, err = TakeAddr(); err != nil {
+			return nil, err
+		}
+		management = taken
+	}
 	cmd := exec.Command(program)
 	cmd.Env = append(append(os.Environ(), "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_NAME=", "SPOKEGW_OPERATOR=", "NODE_MANAGEMENT="+management), env...)
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
+		GiveBack(taken)
 		return nil, fmt.Errorf("process: %w", err)
 	}
 	p := &Process{Process: cmd.Process, Management: management, Ended: make(chan struct{})}
 	go func() { // it ends with the process
 		cmd.Wait()
+		GiveBack(taken)
 		close(p.Ended)
 	}()
 	return p, nil
@@ -148,18 +159,3 @@
 	}
 	return now, most
 }
-
-// FreeAddr is an address that was free just now.
-func FreeAddr() (string, error) { return FreeAddrOf("127.0.0.1") }
-
-// FreeAddrOf is an address of a host's that was free just now. Of a host of its own,
-// such as 127.0.0.9, nobody takes it by chance before it is used, or while who had it is
-// down: others listen and call from 127.0.0.1.
-func FreeAddrOf(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -153,6 +152,7 @@
 func (p *play) end() {
 	for _, s := range p.sidecars {
 		s.finish()
+		process.GiveBack(s.listen)
 	}
 	for _, e := range p.endpoints {
 		e.close()
@@ -243,7 +243,7 @@
 }
 
 func (p *play) newSidecar(i int, known []discovery.Entry) (*sidecarProcess, error) {
-	listen, err := process.FreeAddrOf(fmt.Sprintf("127.0.%d.%d", 10+p.Seed%200, 1+i))
+	listen, err := process.TakeAddr()
 	if err != nil {
 		return nil, err
 	}
@@ -280,12 +280,7 @@
 			return err
 		}
 	}
-	host, _, _ := net.SplitHostPort(s.listen) // it was made with one
-	management, err := process.FreeAddrOf(host)
-	if err != nil {
-		return err
-	}
-	proc, err := process.Start(s.Program, management, append([]string{"NODE_CONFIG=" + s.config, "TMPDIR=" + s.Dir}, s.Env...), s.log)
+	proc, err := process.Start(s.Program, "", append([]string{"NODE_CONFIG=" + s.config, "TMPDIR=" + s.Dir}, s.Env...), s.log)
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -14,13 +14,14 @@
 	"spokegw/internal/lab/scene"
 )
 
-// address is one that was free just now.
+// address is one that is the test's up to its end.
 func address(t *testing.T) string {
 	t.Helper()
-	addr, err := process.FreeAddr()
+	addr, err := process.TakeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { process.GiveBack(addr) })
 	return addr
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"spokegw/internal/budget"
+	"spokegw/internal/lab/process"
 	"spokegw/internal/permit"
 	"spokegw/policy"
 )
@@ -486,12 +487,12 @@
 // A connection that can't be had for want of the sidecar's own places is told from
 // one that its endpoint refuses: the one speaks of no endpoint.
 func TestOwnWant(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := process.TakeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	nobody := Endpoint{ID: "gone", Addr: l.Addr().String()}
-	l.Close()
+	defer process.GiveBack(addr)
+	nobody := Endpoint{ID: "gone", Addr: addr}
 	p := newTestPool(1, 1<<20)
 	if a := do(p, t.Context(), nobody, request("1"), long); a.Result != policy.NoConnection {
 		t.Errorf("refused: %v", a.Result)
