front/http1: a stop waits for what was accepted to be counted

A client whose connection is accepted in the moment in which a server stops could be reset with its request unread: its request is lost.

Cause: Serve did not wait for the goroutine that accepts. Between the return of accept(2) and the table of connections a connection is in nobody's count. If that goroutine is held up there (it has no processor, or a lock is taken), the queue of the listener looks empty, finish or drainYielded closes the listener, finished counts no connection, and the process ends.

Evidence: the new test holds a connection there until the listener is closed.

Change: after the listener is closed both ways of a stop wait until accepting has ended. It ends by the close, and has put what it accepted into the table before that, so the count is of all. The listener knows a function to add to the table in place of the table, which is where the test holds it up.

--- a/internal/front/http1/listener.go
+++ b/internal/front/http1/listener.go
@@ -17,8 +17,8 @@
 // system's queue, for another process that listens by the same descriptor.
 type listener struct {
 	*net.TCPListener
-	table  *connTable
-	shared atomic.Bool // another process has, or had, the same descriptor
+	add    func(*net.TCPConn) *clientConn // to the table; nil: there is no room
+	shared atomic.Bool                    // another process has, or had, the same descriptor
 
 	mu     sync.Mutex
 	paused chan struct{} // closed when it accepts again; nil: it does
@@ -134,7 +134,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if c := l.table.add(nc); c != nil {
+		if c := l.add(nc); c != nil {
 			return c, nil
 		}
 		nc.Close()
--- a/internal/front/http1/listener_test.go
+++ b/internal/front/http1/listener_test.go
@@ -1,14 +1,18 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // open opens a listener, and greets whoever it accepts once greet is called.
@@ -18,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l = &listener{TCPListener: tcp, table: newConnTable(1<<16, 1<<16)}
+	l = &listener{TCPListener: tcp, add: newConnTable(1<<16, 1<<16).add}
 	var greeting sync.WaitGroup
 	t.Cleanup(func() { l.Close(); greeting.Wait() })
 	return l, func() {
@@ -109,3 +113,52 @@
 	}
 	t.Logf("%d greeted, %d refused", met.Load(), refused.Load())
 }
+
+// A connection is accepted as the server stops, and gets to the table of connections only
+// when the listener has been closed and nothing else is left: its request is answered.
+func TestAcceptedAsTheServerStops(t *testing.T) {
+	const longer = 100 * time.Millisecond // than a stop takes when nothing is left
+	for name, yielded := range map[string]bool{"nobody takes over": false, "another process has taken over": true} {
+		t.Run(name, func(t *testing.T) {
+			s := listening(t, Config{}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+			accepted, goOn := make(chan struct{}), make(chan struct{})
+			add := s.listener.add
+			s.listener.add = func(nc *net.TCPConn) *clientConn {
+				close(accepted)
+				<-goOn
+				return add(nc)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(ctx) }()
+			c := dial(t, s)
+			io.WriteString(c, tile("accepted"))
+			<-accepted
+			if yielded {
+				s.Yield()
+			}
+			stop()
+			for closed := false; !closed; runtime.Gosched() {
+				s.listener.mu.Lock()
+				closed = s.listener.closed
+				s.listener.mu.Unlock()
+			}
+			over := false
+			select {
+			case <-served:
+				over = true
+				t.Error("the server has ended, and a connection that it accepted is in nobody's hands")
+			case <-time.After(longer):
+			}
+			close(goOn)
+			if status, _ := read(t, c); status != 200 {
+				t.Errorf("status %d", status)
+			}
+			if !over {
+				if err := <-served; err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -85,7 +85,7 @@
 			return nil, fmt.Errorf("http1: %w", err)
 		}
 	}
-	s.listener = &listener{TCPListener: l, table: s.conns}
+	s.listener = &listener{TCPListener: l, add: s.conns.add}
 	s.listener.shared.Store(c.Shared != nil)
 	s.rest = newRest(l.Addr())
 	return s, nil
@@ -174,11 +174,12 @@
 		return fmt.Errorf("http1: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain()
+	s.drain(accepting)
 	return nil
 }
 
-// accept serves connections until the listener is closed.
+// accept serves connections until the listener is closed. When it ends, all that it has
+// accepted are in the table.
 func (s *Server) accept() error {
 	for {
 		c, err := s.listener.accept()
@@ -202,10 +203,10 @@
 // while; each is closed after the answer that is under way on it, idle ones at
 // once: a request that crosses that is sent again on a new one. Those that have
 // just been opened may say something first. Peers that have stalled do not hold it.
-func (s *Server) drain() {
+func (s *Server) drain(accepting <-chan error) {
 	asked := time.Now()
 	if s.listener.isPaused() != nil {
-		s.drainYielded(asked)
+		s.drainYielded(asked, accepting)
 		return
 	}
 	slog.Info("stopping")
@@ -213,6 +214,7 @@
 	s.conns.endRested(0)
 	time.Sleep(acceptAfterStop)
 	s.listener.finish()
+	<-accepting
 	for {
 		s.conns.endRested(0)
 		if s.finished(asked) {
@@ -226,9 +228,10 @@
 // clients come to the successor by themselves as their connections end with an
 // answer, so those that rest are closed only when they have rested for as long
 // as they may, or the end is near.
-func (s *Server) drainYielded(asked time.Time) {
+func (s *Server) drainYielded(asked time.Time, accepting <-chan error) {
 	slog.Info("stopping; another process has taken over")
 	s.listener.Close()
+	<-accepting
 	patience := min(s.core.Deadline(), longestWait) + yieldMargin
 	for {
 		rested := mayRest
