handover: ask again where the listener was closed before anybody read

A new process could start from nothing beside one that serves and would have handed over: with another listener at the same address, none of the keys and ids that the other had taken, and a predecessor that knows of no successor.

Cause: Ask gave up at the first reset. A process whose successor has ended takes the path again and then closes the listener that it had there before; a process that had asked just then, as one that is started at once in place of the one that ended, stands in that listener's queue, and the close resets it. The same holds for the end of an old process whose successor has the path by then.

Evidence: the new test has an asker stand in the queue of a listener, another process take the path, and the listener closed.

Change: an asker that was reset asks again within the second that it has, as one does that finds the other busy. Where the other process has been killed, the next attempt is refused and it starts from nothing as before. An end after what it asked was read is no reason to ask again: that one has been heard.

--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -185,13 +185,19 @@
 	until := time.Now().Add(askPatience)
 	for {
 		p, err := ask(path, &Record{Kind: KindHello, Name: name, Listen: listen, Keeps: keeps}, until)
-		if !errors.Is(err, errBusy) || time.Until(until) < 2*busyPause {
+		if again := errors.Is(err, errBusy) || unheard(err); !again || time.Until(until) < 2*busyPause {
 			return p, err
 		}
 		time.Sleep(busyPause)
 	}
 }
 
+// unheard reports whether an asker was reset: the listener that he was connected to was closed
+// before anybody read what he asked. By then another one may have the path.
+func unheard(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func ask(path string, hello *Record, until time.Time) (*Predecessor, error) {
 	info, err := os.Lstat(path)
 	if errors.Is(err, fs.ErrNotExist) {
--- a/internal/handover/steps_test.go
+++ b/internal/handover/steps_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A new process that dies at any step of the handover leaves the old one as it
@@ -129,3 +131,45 @@
 	}
 	return n
 }
+
+// A process asks as another one takes the path, and the listener that it was connected to is
+// closed before anybody accepts from it: it is given what the one that has the path now has.
+func TestAskedAsThePathIsTaken(t *testing.T) {
+	h := newHost(t)
+	path := Path(t.TempDir(), h.addr())
+	before, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer before.Close()
+	before.SetUnlinkOnClose(false)
+	type answer struct {
+		p   *Predecessor
+		err error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		p, err := Ask(path, "n0", h.addr(), false)
+		answered <- answer{p, err}
+	}()
+	raw, err := before.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waits := []unix.PollFd{{Events: unix.POLLIN}}
+	if err := raw.Control(func(fd uintptr) {
+		waits[0].Fd = int32(fd)
+		unix.Poll(waits, int(askPatience/time.Millisecond))
+	}); err != nil || waits[0].Revents == 0 {
+		t.Fatal("nobody stands in the queue", err)
+	}
+	offer(t, path, h)
+	before.Close()
+	a := await(t, "the answer", answered)
+	if a.err != nil {
+		t.Fatalf("it starts from nothing beside a process that serves: %v", a.err)
+	}
+	a.p.Listener.Close()
+	a.p.Close()
+	await(t, "its end", h.ended)
+}
