handover: take what came while the new process stood still

Cause: a new process waits a second for state and listener. One that stands still for longer in that second finds its time over as it goes on, gives up and closes the connection, with the listener that waits unread on it. If the old process has ended meanwhile that was the last descriptor, and the system resets who stands in its queue.

Change: as the time is over the connection is read once more, for 20 ms: what has come is taken. One that hangs costs so much more.

--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -24,6 +24,8 @@
 	patience    = 400 * time.Millisecond
 	askPatience = time.Second
 	busyPause   = 50 * time.Millisecond
+	// latePatience is for what has come already when the time for it is over.
+	latePatience = 20 * time.Millisecond
 	// relayPatience is for the successor to take a record. One that hangs is as
 	// good as gone: it reads all the time otherwise.
 	relayPatience = time.Second
@@ -130,6 +132,7 @@
 type fileReader struct {
 	conn *net.UnixConn
 	file *os.File
+	late bool // its time is over
 }
 
 func (r *fileReader) close() {
@@ -142,6 +145,13 @@
 func (r *fileReader) Read(b []byte) (int, error) {
 	oob := make([]byte, syscall.CmsgSpace(4*4))
 	n, oobn, _, _, err := r.conn.ReadMsgUnix(b, oob)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !r.late {
+		// This process may have stood still. What has come meanwhile is taken: the other one
+		// may have ended since, and with the listener those in its queue would be lost.
+		r.late = true
+		r.conn.SetReadDeadline(time.Now().Add(latePatience))
+		n, oobn, _, _, err = r.conn.ReadMsgUnix(b, oob)
+	}
 	if n == 0 && err == nil {
 		err = io.EOF
 	}
--- a/internal/handover/steps_test.go
+++ b/internal/handover/steps_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -173,3 +174,58 @@
 	a.p.Close()
 	await(t, "its end", h.ended)
 }
+
+// The state and the listener come while the new process stands still, longer than it waits for
+// them, and the one before ends: the new one has both, and who stands in the queue is not reset.
+func TestGivenWhileStoodStill(t *testing.T) {
+	h := newHost(t)
+	state, err := Encode(&Record{Kind: KindState, Part: 0.5, State: h.state})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := h.listener.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	path := filepath.Join(t.TempDir(), "x.sock")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asker, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer asker.Close()
+	before, err := l.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := before.WriteMsgUnix(state, syscall.UnixRights(int(fdOf(t, file))), nil); err != nil {
+		t.Fatal(err)
+	}
+	client, err := net.Dial("tcp", h.addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	file.Close()
+	h.listener.Close()
+	stoodStill := time.Now().Add(-time.Second) // until when it had waited
+	p, err := talk(asker, &Record{Kind: KindHello, Name: "n0", Listen: h.addr()}, stoodStill)
+	if err != nil {
+		t.Fatalf("the listener is lost: %v", err)
+	}
+	defer p.Listener.Close()
+	before.Close()
+	c, err := p.Listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("who stood in the queue: %v", err)
+	}
+}
