sidecar: open the clients' address last, when nothing else can fail

Clients of a sidecar that serves were reset, or left with nobody at the other end, as another process was started beside it that can't start: its second address, that of the figures or the fleet's is taken.

Cause: open opened the listener of the clients' address before these. Where the old process hands nothing over (another folder, no file system that both see, another version) the new one listens at the same address by SO_REUSEPORT, and the system gives it a part of the new connections from that instant. It then fails at the next address and ends; who stands in its queue is reset.

Evidence: the new test starts such a process beside a scene and makes 32 calls.

Change: the clients' address is the last that is opened, and a place in the fleet that was taken by then is let go. Nothing between uses the front.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -204,6 +204,9 @@
 	return f, nil
 }
 
+// Close lets the address go of one that is not to run.
+func (f *Fleet) Close() { f.transport.Shutdown() }
+
 // Addr is where the fleet's messages come to.
 func (f *Fleet) Addr() string { return f.transport.tcp.Addr().String() }
 
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -205,6 +205,13 @@
 	}
 }
 
+// close lets the address go: this process takes no part.
+func (sh *shared) close() {
+	if f := sh.fleet.Swap(nil); f != nil {
+		f.Close()
+	}
+}
+
 // yieldFleet lets the place in the fleet go.
 func (s *Sidecar) yieldFleet() {
 	if s.shared == nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -143,29 +143,43 @@
 			return err
 		}
 	}
-	limit, crowd := s.places(s.upgrade.part())
 	if c.Operator != nil {
 		s.brake = newBrake(c.Operator.Overload, s.core)
 	}
+	if s.upgrade.predecessor == nil {
+		if s.metrics, err = s.listenMetrics(); err != nil {
+			return err
+		}
+	}
+	if err := s.listenManagement(); err != nil {
+		return err
+	}
+	if err := s.joinFleet(); err != nil {
+		return err
+	}
+	return s.listenHTTP1(longest)
+}
+
+// listenHTTP1 opens the address that clients come to, where the process before this one has
+// not handed it over. It is the last that may fail: another process may have the address
+// open too, and of clients some come to this one from then on.
+func (s *Sidecar) listenHTTP1(longest time.Duration) (err error) {
+	c := &s.config
+	limit, crowd := s.places(s.upgrade.part())
 	front := http1.Config{Door: s.brake.door(), Listen: c.Listen, Shared: s.upgrade.listener(), Limit: limit, Crowd: crowd, Longest: longest}
 	if c.Operator != nil {
 		front.Pipelining = c.Operator.HTTP1.Pipelining
 	}
 	if s.front, err = http1.Listen(front, s.core); err != nil {
+		if s.shared != nil {
+			s.shared.close()
+		}
 		return err
 	}
 	if s.http3 != nil {
 		s.front.SetAltSvc(s.http3.AltSvc())
 	}
-	if s.upgrade.predecessor == nil {
-		if s.metrics, err = s.listenMetrics(); err != nil {
-			return err
-		}
-	}
-	if err := s.listenManagement(); err != nil {
-		return err
-	}
-	return s.joinFleet()
+	return nil
 }
 
 // listenMetrics opens the address that tells the figures to Prometheus; nil where
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -12,6 +12,8 @@
 	"spokegw/internal/lab"
 	"spokegw/internal/lab/process"
 	"spokegw/internal/lab/scene"
+	"spokegw/internal/operator"
+	"spokegw/internal/sidecar"
 )
 
 // address is one that is the test's up to its end.
@@ -188,3 +190,49 @@
 		t.Errorf("after the upgrade a team over its budget is answered %d", s)
 	}
 }
+
+// A process that can't start, as another of its addresses is taken, has not opened the one
+// that clients come to: beside a process that it can't take over from, clients would get to
+// it, and nobody answers them there.
+func TestFailedStartTakesNoClients(t *testing.T) {
+	const clients = 32
+	taken, err := net.Listen("tcp", address(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	at := taken.Addr().String()
+	const service = "[[service]]\nname = 'maps'\n[[team]]\nname = 'a'\n[[team.allow]]\nservice = 'maps'\n"
+	old := startReady(t, scene.Config{Listen: address(t), Maps: []lab.EndpointConfig{{Workers: 8}}}) // in no folder: nobody can ask it
+	for name, c := range map[string]struct{ management, operator string }{
+		"the second address":         {at, ""},
+		"the address of the figures": {"", service + fmt.Sprintf("[metrics]\nlisten = %q\n", at)},
+		"the fleet's address": {"", service + "rate = 10\nburst = 10\nquota = 'fleet'\n" + fmt.Sprintf("[fleet]\nname = 'g0'\nlisten = %q\nlease = '500ms'\nperiod = '50ms'\n"+
+			"[[fleet.partner]]\nname = 'p'\npart = 1\n[[fleet.gateway]]\nname = 'g0'\npartner = 'p'\naddress = %q\n", at, at)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			config, err := sidecar.ParseConfig("platform", scene.Configuration(scene.Platform{
+				Listen: old.Addr(), Management: c.management, Registry: old.Registry.Addr(), Endpoints: old.Maps, Classes: scene.Classes(scene.Config{}),
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.operator != "" {
+				if config.Operator, err = operator.Parse("operator.toml", []byte(c.operator)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := sidecar.New(config); err == nil || !strings.Contains(err.Error(), at) {
+				t.Fatalf("it starts though %s is taken: %v", name, err)
+			}
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+			for i := range clients {
+				resp, err := client.Get("http://" + old.Addr() + "/health/ready")
+				if err != nil {
+					t.Fatalf("client %d: %v", i, err)
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+}
