front/http1: an old process keeps the listener until its queue is empty

Cause: drainYielded closed the old process's descriptor at once, as another process had taken over. If that one has been killed and its end has not been noticed yet (the old process stood still, or has no processor) this was the last descriptor, and the system resets who stands in the queue. Its end was noticed a moment later, with no listener left to accept from; up to then the old process would have served for as long as it had requests.

Change: the descriptor is closed last, when nothing that was taken is left. While connections stand in the queue that waits for up to 0.5 s: a successor that lives takes them, the end of one that does not is known by then. If it has ended the stop goes on as that of a process that nobody takes over from. An old process whose successor stands still with connections in the queue ends up to 0.5 s later; others as before.

--- a/internal/front/http1/listener_test.go
+++ b/internal/front/http1/listener_test.go
@@ -162,3 +162,35 @@
 		})
 	}
 }
+
+// A server that another process has taken over from is told to stop, and that process has just
+// ended: who stands in the queue then is answered.
+func TestStopAsTheSuccessorEnds(t *testing.T) {
+	const clients, closes = 10, 20 * time.Millisecond // closes: in which it would close the listener
+	s := listening(t, Config{}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	s.listener.shared.Store(true)
+	s.Yield()
+	var queue []net.Conn
+	for i := range clients {
+		c := dial(t, s)
+		io.WriteString(c, tile(fmt.Sprint("queued-", i)))
+		queue = append(queue, c)
+	}
+	stop := serve(s)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(closes):
+	}
+	s.Unyield()
+	for i, c := range queue {
+		if status, _ := read(t, c); status != 200 {
+			t.Errorf("client %d: status %d", i, status)
+		}
+	}
+	<-stopped
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -175,6 +175,8 @@
 	case <-ctx.Done():
 	}
 	s.drain(accepting)
+	all, busy, _ := s.conns.count(0)
+	slog.Info("stopped", "connections", all, "requests", busy)
 	return nil
 }
 
@@ -205,8 +207,7 @@
 // just been opened may say something first. Peers that have stalled do not hold it.
 func (s *Server) drain(accepting <-chan error) {
 	asked := time.Now()
-	if s.listener.isPaused() != nil {
-		s.drainYielded(asked, accepting)
+	if s.listener.isPaused() != nil && s.drainYielded(asked, accepting) {
 		return
 	}
 	slog.Info("stopping")
@@ -224,35 +225,50 @@
 	}
 }
 
-// drainYielded ends a server whose successor takes what is new. There is time:
+// takenWithin bounds how long a successor is waited for that leaves connections in the queue.
+// That it has ended is known sooner.
+const takenWithin = 500 * time.Millisecond
+
+// drainYielded ends a server whose successor takes what is new; it reports false where that
+// one has ended, and what is new is this server's again. So the listener stays open up to the
+// end, and until its queue is empty: without another process its close resets who stands there.
+// There is time:
 // clients come to the successor by themselves as their connections end with an
 // answer, so those that rest are closed only when they have rested for as long
 // as they may, or the end is near.
-func (s *Server) drainYielded(asked time.Time, accepting <-chan error) {
+func (s *Server) drainYielded(asked time.Time, accepting <-chan error) (done bool) {
 	slog.Info("stopping; another process has taken over")
-	s.listener.Close()
-	<-accepting
 	patience := min(s.core.Deadline(), longestWait) + yieldMargin
-	for {
+	for empty := asked; done || s.listener.isPaused() != nil; time.Sleep(stopPoll) {
 		rested := mayRest
 		if time.Since(asked) > patience {
 			rested = 0
 		}
 		s.conns.endRested(rested)
-		if s.finished(asked) {
-			return
+		if !s.listener.queued() {
+			empty = time.Now()
+		} else if time.Since(empty) < takenWithin {
+			continue
 		}
-		time.Sleep(stopPoll)
+		if !s.finished(asked) {
+			continue
+		}
+		if done {
+			return true
+		}
+		s.listener.Close()
+		<-accepting // which may have had one in its hands
+		done = true
 	}
+	return false
 }
 
 // finished reports whether nothing is left that is worth waiting for.
 func (s *Server) finished(asked time.Time) bool {
-	all, busy, moving := s.conns.count(front.Now() - stillMoving)
+	all, _, moving := s.conns.count(front.Now() - stillMoving)
 	late := time.Since(asked) > acceptAfterStop+s.core.Deadline()
 	if all > 0 && (!late || moving > 0) {
 		return false
 	}
-	slog.Info("stopped", "connections", all, "requests", busy)
 	return true
 }
