--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -85,7 +85,7 @@
 			return nil, fmt.Errorf("http1: %w", err)
 		}
 	}
-	s.listener = &listener{TCPListener: l, table: s.conns}
+	s.listener = &listener{TCPListener: l, add: s.conns.add}
 	s.listener.shared.Store(c.Shared != nil)
 	s.rest = newRest(l.Addr())
 	return s, nil
@@ -174,11 +174,14 @@
 		return fmt.Errorf("http1: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain()
+	s.drain(accepting)
+	all, busy, _ := s.conns.count(0)
+	slog.Info("stopped", "connections", all, "requests", busy)
 	return nil
 }
 
-// accept serves connections until the listener is closed.
+// accept serves connections until the listener is closed. When it ends, all that it has
+// accepted are in the table.
 func (s *Server) accept() error {
 	for {
 		c, err := s.listener.accept()
@@ -202,10 +205,9 @@
 // while; each is closed after the answer that is under way on it, idle ones at
 // once: a request that crosses that is sent again on a new one. Those that have
 // just been opened may say something first. Peers that have stalled do not hold it.
-func (s *Server) drain() {
+func (s *Server) drain(accepting <-chan error) {
 	asked := time.Now()
-	if s.listener.isPaused() != nil {
-		s.drainYielded(asked)
+	if s.listener.isPaused() != nil && s.drainYielded(asked, accepting) {
 		return
 	}
 	slog.Info("stopping")
@@ -213,6 +215,7 @@
 	s.conns.endRested(0)
 	time.Sleep(acceptAfterStop)
 	s.listener.finish()
+	<-accepting
 	for {
 		s.conns.endRested(0)
 		if s.finished(asked) {
@@ -222,34 +225,50 @@
 	}
 }
 
-// drainYielded ends a server whose successor takes what is new. There is time:
+// takenWithin bounds how long a successor is waited for that leaves connections in the queue.
+// That it has ended is known sooner.
+const takenWithin = 500 * time.Millisecond
+
+// drainYielded ends a server whose successor takes what is new; it reports false where that
+// one has ended, and what is new is this server's again. So the listener stays open up to the
+// end, and until its queue is empty: without another process its close resets who stands there.
+// There is time:
 // clients come to the successor by themselves as their connections end with an
 // answer, so those that rest are closed only when they have rested for as long
 // as they may, or the end is near.
-func (s *Server) drainYielded(asked time.Time) {
+func (s *Server) drainYielded(asked time.Time, accepting <-chan error) (done bool) {
 	slog.Info("stopping; another process has taken over")
-	s.listener.Close()
 	patience := min(s.core.Deadline(), longestWait) + yieldMargin
-	for {
+	for empty := asked; done || s.listener.isPaused() != nil; time.Sleep(stopPoll) {
 		rested := mayRest
 		if time.Since(asked) > patience {
 			rested = 0
 		}
 		s.conns.endRested(rested)
-		if s.finished(asked) {
-			return
+		if !s.listener.queued() {
+			empty = time.Now()
+		} else if time.Since(empty) < takenWithin {
+			continue
 		}
-		time.Sleep(stopPoll)
+		if !s.finished(asked) {
+			continue
+		}
+		if done {
+			return true
+		}
+		s.listener.Close()
+		<-accepting // which may have had one in its hands
+		done = true
 	}
+	return false
 }
 
 // finished reports whether nothing is left that is worth waiting for.
 func (s *Server) finished(asked time.Time) bool {
-	all, busy, moving := s.conns.count(front.Now() - stillMoving)
+	all, _, moving := s.conns.count(front.Now() - stillMoving)
 	late := time.Since(asked) > acceptAfterStop+s.core.Deadline()
 	if all > 0 && (!late || moving > 0) {
 		return false
 	}
-	slog.Info("stopped", "connections", all, "requests", busy)
 	return true
 }
--- a/internal/handover/steps_test.go
+++ b/internal/handover/steps_test.go
@@ -1,12 +1,15 @@
 package handover
 
 import (
+	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A new process that dies at any step of the handover leaves the old one as it
@@ -129,3 +132,100 @@
 	}
 	return n
 }
+
+// A process asks as another one takes the path, and the listener that it was connected to is
+// closed before anybody accepts from it: it is given what the one that has the path now has.
+func TestAskedAsThePathIsTaken(t *testing.T) {
+	h := newHost(t)
+	path := Path(t.TempDir(), h.addr())
+	before, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer before.Close()
+	before.SetUnlinkOnClose(false)
+	type answer struct {
+		p   *Predecessor
+		err error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		p, err := Ask(path, "n0", h.addr(), false)
+		answered <- answer{p, err}
+	}()
+	raw, err := before.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waits := []unix.PollFd{{Events: unix.POLLIN}}
+	if err := raw.Control(func(fd uintptr) {
+		waits[0].Fd = int32(fd)
+		unix.Poll(waits, int(askPatience/time.Millisecond))
+	}); err != nil || waits[0].Revents == 0 {
+		t.Fatal("nobody stands in the queue", err)
+	}
+	offer(t, path, h)
+	before.Close()
+	a := await(t, "the answer", answered)
+	if a.err != nil {
+		t.Fatalf("it starts from nothing beside a process that serves: %v", a.err)
+	}
+	a.p.Listener.Close()
+	a.p.Close()
+	await(t, "its end", h.ended)
+}
+
+// The state and the listener come while the new process stands still, longer than it waits for
+// them, and the one before ends: the new one has both, and who stands in the queue is not reset.
+func TestGivenWhileStoodStill(t *testing.T) {
+	h := newHost(t)
+	state, err := Encode(&Record{Kind: KindState, Part: 0.5, State: h.state})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := h.listener.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	path := filepath.Join(t.TempDir(), "x.sock")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asker, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer asker.Close()
+	before, err := l.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := before.WriteMsgUnix(state, syscall.UnixRights(int(fdOf(t, file))), nil); err != nil {
+		t.Fatal(err)
+	}
+	client, err := net.Dial("tcp", h.addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	file.Close()
+	h.listener.Close()
+	stoodStill := time.Now().Add(-time.Second) // until when it had waited
+	p, err := talk(asker, &Record{Kind: KindHello, Name: "n0", Listen: h.addr()}, stoodStill)
+	if err != nil {
+		t.Fatalf("the listener is lost: %v", err)
+	}
+	defer p.Listener.Close()
+	before.Close()
+	c, err := p.Listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("who stood in the queue: %v", err)
+	}
+}
