lab: clients of a killed gateway do not ask again by themselves

What was seen: in a federation whose processes are killed and started anew, a key came to the endpoints twice, the second time by the new process, which knows nothing of it. Clients of the stand-in load were held not to retry.

Cause: net/http's client takes a request with the field Idempotency-Key for one that may be sent again (Request.isReplayable). Where a connection that has served before ends with no answer, it sends the request once more, on a new connection, without a word to its caller (lab.Load.ask). A gateway that is killed with a request out ends its connections, and the next process listens some 30 ms later: a client that is held up for as long, as on a machine short of processors, reaches it with the same key. The endpoints get both, in or out of one group, as the new process decides.

Change: the load spells the field in small letters, which is the same to a gateway (RFC 9110 5.1). What the protocol's clients do send once more, a request that crossed the end of a resting connection and was not read, a caller of the load decides on: in a federation one that no endpoint has got, and whose process neither was killed nor stood still. Connections rest for 3 s, less than at gateways (5 s), so that few requests cross their end.

--- a/internal/lab/federation/client.go
+++ b/internal/lab/federation/client.go
@@ -34,10 +34,21 @@
 func (g *Gateway) newLoad() *lab.Load {
 	return &lab.Load{
 		Team: Team, Method: http.MethodPost, Path: "/status-report?user=k", Kind: "status-report", Keyed: true, Give: deadline,
-		Rate: func(time.Duration) float64 { return float64(g.demand.Load()) },
+		Rate:  func(time.Duration) float64 { return float64(g.demand.Load()) },
+		Again: g.unread,
 	}
 }
 
+// unread reports whether a request whose connection ended with no answer was not read: its
+// process neither was killed nor stood still, and no endpoint has got it.
+func (g *Gateway) unread(id string, sent time.Time) bool {
+	f := g.of
+	f.mu.Lock()
+	_, came := f.keys[id]
+	f.mu.Unlock()
+	return !came && !g.wasDown(sent.Sub(f.begun), time.Since(f.begun))
+}
+
 // Demand sets the requests a second that clients ask each gateway for; the last is of all
 // others.
 func (f *Federation) Demand(of ...float64) {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -30,6 +30,9 @@
 	Keyed   bool
 	Headers http.Header // more of them, or others
 	Idle    int         // connections that may rest; 0: 64
+	// Again tells of a keyed request, by its id and when it was sent, whose connection ended with
+	// no answer, whether its gateway had not read it: then it is sent once more. nil: none is.
+	Again func(id string, sent time.Time) bool
 
 	mu    sync.Mutex
 	stats []Result // the latest, keepResults at most and half of it at least
@@ -63,7 +66,7 @@
 // is open.
 func (l *Load) Run(ctx context.Context, addr string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(l.Team))))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmp.Or(l.Idle, 64), MaxConnsPerHost: 0, DisableCompression: true}}
+	client := l.client()
 	defer client.CloseIdleConnections()
 	start := time.Now()
 	var open sync.WaitGroup
@@ -98,6 +101,15 @@
 	}
 }
 
+// rests is how long a client's connection rests: gateways end theirs later, so that a request
+// hardly ever crosses that.
+const rests = 3 * time.Second
+
+// client is that by which the load is sent.
+func (l *Load) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmp.Or(l.Idle, 64), MaxConnsPerHost: 0, IdleConnTimeout: rests, DisableCompression: true}}
+}
+
 func sleepUntil(ctx context.Context, due time.Time) bool {
 	t := time.NewTimer(time.Until(due))
 	defer t.Stop()
@@ -141,7 +153,10 @@
 		r.Header.Set("Req-Cost", fmt.Sprint(l.Cost.Microseconds()))
 	}
 	if l.Keyed {
-		r.Header.Set("Idempotency-Key", id)
+		// Spelt otherwise net/http's client would take the request for one that it may send
+		// again by itself, when its connection ends with no answer: by a process that was killed
+		// with it, and by the next.
+		r.Header["idempotency-key"] = []string{id}
 	}
 	for name, values := range l.Headers {
 		r.Header[name] = values
@@ -156,6 +171,10 @@
 	req := l.Request(ctx, addr)
 	begun := time.Now()
 	resp, err := client.Do(req)
+	if err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && l.Again(req.Header.Get("Req-Id"), begun) {
+		req.Body, _ = req.GetBody()
+		resp, err = client.Do(req)
+	}
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
--- /dev/null
+++ b/internal/lab/load_test.go
@@ -0,0 +1,74 @@
+package lab
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A gateway takes a keyed request on a connection that has served before, sends it on, and is
+// killed: its client is told of a broken connection. It does not ask again by itself, or the
+// request reaches the endpoints by the process that was started meanwhile too.
+func TestLoadDoesNotAskAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var mu sync.Mutex
+	came := map[string]int{} // by key
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					key := req.Header.Get("Idempotency-Key")
+					mu.Lock()
+					came[key]++
+					again := came[key] > 1
+					mu.Unlock()
+					if n > 0 && !again {
+						return // as a process that is killed
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	for _, unread := range []bool{false, true} { // as a gateway that closes a connection that rests
+		load := &Load{Method: http.MethodPost, Path: "/status-report", Keyed: true, Give: 10 * time.Second}
+		if unread {
+			load.Again = func(string, time.Time) bool { return true }
+		}
+		client := load.client()
+		defer client.CloseIdleConnections()
+		if r := load.ask(client, l.Addr().String(), 0); r.Status != http.StatusOK {
+			t.Fatalf("the first: %+v", r)
+		}
+		broken := load.ask(client, l.Addr().String(), 0)
+		mu.Lock()
+		keys, most := len(came), 0
+		for _, n := range came {
+			most = max(most, n)
+		}
+		clear(came)
+		mu.Unlock()
+		if again := most > 1; keys != 2 || again != unread || (broken.Status == http.StatusOK) != unread {
+			t.Errorf("unread: %t: %d keys came, one of them %d times; of the second its client had %+v", unread, keys, most, broken)
+		}
+	}
+}
