core: a client is looked for by the time since its request, not since Begin

What callers saw: nothing; an attempt was begun for a client that had closed its connection, which is allowed for 0.1 s after the close and no longer.

Cause: attempt.Look (internal/core/effect.go) looks for the client again where its attempt has waited for 5 ms, and the wait was that since upstream's Begin. What passes before Begin was not counted: a keyed request's wait for the disk, and a process that stands still between the decision and Begin, or between the request's last byte and its decision. When the process goes on the disk's answer and word of the client's leaving come in any order.

Change: the wait is counted from when the client was known to be there: of a first attempt since its request was opened, of a further one since send looked for it. What upstream told of its own wait is of no use any more and is gone from Gate.Look.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,6 +138,7 @@
 	service *Service
 	place   *place // of its class
 	head    *Head
+	opened  time.Time
 	request policy.Request
 	ticket  *ticket // nil: no contracts are in force
 	keyed   bool    // it has a key
@@ -169,7 +170,7 @@
 			class.open.Add(-1)
 			continue
 		}
-		x := &Exchange{core: c, service: m.Service, place: class.place, head: h, request: q}
+		x := &Exchange{core: c, service: m.Service, place: class.place, head: h, opened: time.Now(), request: q}
 		x.trace = c.taps.begin(h, m.name, class.name, class.rules.Aim)
 		if refused := x.service.admit(x); refused != nil {
 			x.release()
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -26,19 +26,19 @@
 	l.now.Store(uint32(next))
 }
 
-// lookAgain is the wait after which a client is looked for once more before its attempt begins.
+// lookAgain is the time after which a client is looked for once more before its attempt begins.
 // Sooner, word of its leaving would hardly be known.
 const lookAgain = 5 * time.Millisecond
 
 // Look fills in what is known now of an attempt that was decided before, for upstream.
-func (a *attempt) Look(facts *permit.Attempt, waited time.Duration) {
+func (a *attempt) Look(facts *permit.Attempt) {
 	facts.Endpoint = permit.Gone
 	if a.listing != nil {
 		facts.Endpoint = permit.Listing(a.listing.now.Load())
 	}
 	facts.MayHaveRun = a.doubt
 	facts.Unsafe = a.call.req.Once
-	if waited > lookAgain {
+	if time.Since(a.there) > lookAgain {
 		facts.ClientLeft = a.call.exchange.clientLeft()
 	}
 }
@@ -102,6 +102,6 @@
 // notKept is why an attempt is not sent whose key was not kept on the disk.
 func (a *attempt) notKept() permit.Reason {
 	facts := permit.Attempt{Deadline: time.Until(a.until)}
-	a.Look(&facts, 0)
+	a.Look(&facts)
 	return facts.Check()
 }
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -45,7 +45,7 @@
 type probing struct{ of *listing }
 
 // Look fills in how the endpoint stands now.
-func (p probing) Look(facts *permit.Attempt, _ time.Duration) {
+func (p probing) Look(facts *permit.Attempt) {
 	facts.Endpoint = permit.Listing(p.of.now.Load())
 }
 
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -152,6 +152,7 @@
 	outcome  upstream.Answer // of one that the request's own goroutine has made
 	to       upstream.Endpoint
 	note     *keyed.Note
+	there    time.Time // when its client was known not to have left
 	until    time.Time // given up then; told at its decision, since some time may pass before it is made
 	repeatBy time.Time // the window for repeats ends then; zero: it is none
 	listing  *listing  // of its endpoint; nil: it is in no list
@@ -377,6 +378,9 @@
 		}
 	}
 	a.to, a.note, a.until = e, note, time.Now().Add(to.Timeout)
+	if a.there = c.exchange.opened; a.n > 0 { // it was looked for above
+		a.there = time.Now()
+	}
 	if c.here && c.next == nil {
 		c.next = a
 		return
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -169,7 +169,7 @@
 // Gate knows what may have changed since an attempt was decided.
 type Gate interface {
 	// Look fills in what its owner knows, immediately before the first byte is written.
-	Look(facts *permit.Attempt, waited time.Duration)
+	Look(facts *permit.Attempt)
 	// Wrote tells that the first byte has been written, and how long after the look.
 	Wrote(after time.Duration)
 }
@@ -183,7 +183,7 @@
 		t.facts.RepeatBy = max(t.terms.RepeatBy.Sub(t.start), 1)
 	}
 	if t.terms.Gate != nil {
-		t.terms.Gate.Look(&t.facts, t.facts.Now)
+		t.terms.Gate.Look(&t.facts)
 	}
 	return t.facts.Check()
 }
--- a/internal/upstream/gate_test.go
+++ b/internal/upstream/gate_test.go
@@ -20,12 +20,10 @@
 type gate struct {
 	endpoint      permit.Listing
 	looks, writes int
-	waited        time.Duration
 }
 
-func (g *gate) Look(facts *permit.Attempt, waited time.Duration) {
+func (g *gate) Look(facts *permit.Attempt) {
 	g.looks++
-	g.waited = waited
 	facts.Endpoint = g.endpoint
 }
 
