core: a request's time and a key's window do not move while the process stands still

What callers saw: nothing; an attempt could begin after its client's time was over, and a repeat of a key after its window, by as long as the process stood still at certain points. 0.15 s are allowed for between a clock's reading and the write, and the permit asked right before the first byte holds to that; but the times that it compares with had moved themselves.

Cause: service.go's send gave an attempt the time `time.Now()` plus what the module had said, which had read its clock earlier; keyed.go's noteSent did the same with the end of a window; and a request's time began as the module was told of it, not as its last byte had been read (a worker, the lock of the service and a process that stands still are in between).

Change: Exchange.Came notes when the request has come whole, what has passed since is taken off its time, and an attempt ends by its request's time at the latest. The end of a window is that of the module's clock, converted, with no second reading of a clock. What passes before the bytes are read, while they wait in the socket, is not known and not counted, as before.

TestTimeThatPassesBeforeAnAttemptIsDecided lets 30 ms pass at either point: the attempt was given 27 ms more than its request had (4 ms are kept for the answer). TestWindowEndsByOneClock found the window's end moved by some microseconds.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -139,6 +139,7 @@
 	place   *place // of its class
 	head    *Head
 	opened  time.Time
+	came    time.Time // whole, as its time counts from then; zero: not yet
 	request policy.Request
 	ticket  *ticket // nil: no contracts are in force
 	keyed   bool    // it has a key
@@ -234,7 +235,10 @@
 	return x.Do(ctx, held)
 }
 
-// Do has the request, which has come whole just now, answered. It returns
+// Came notes that the request has come whole just now: its time counts from then.
+func (x *Exchange) Came() { x.came = time.Now() }
+
+// Do has the request answered, which has come whole just now unless Came was called. It returns
 // ErrGone, and no answer, if ctx ends, or Leave is called, before there is one.
 func (x *Exchange) Do(ctx context.Context, body []byte) (Answer, error) {
 	id := x.head.Header.Get("Req-Id")
@@ -247,6 +251,9 @@
 		x.keyed, x.key = true, x.core.ids.hash(x.head.Header.Get("Req-Owner"), x.head.Header.Get("Idempotency-Key"))
 	}
 	x.place.count.Take()
+	if x.came.IsZero() {
+		x.Came()
+	}
 	x.request.Left -= answerMargin
 	patience := x.request.Left
 	x.request.Left += x.request.Upload
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -55,7 +55,7 @@
 		Grace: max(s.grace, permit.HoldUp), Unsafe: a.call.req.Once, MayHaveRun: a.doubt,
 	}
 	if !a.repeatBy.IsZero() {
-		w.RepeatBy = w.At + time.Until(a.repeatBy)
+		w.RepeatBy = s.clockAt(a.repeatBy)
 	}
 	if rule, broken := w.Violates(); broken {
 		s.violated(rule, a, "written "+after.String()+" after it was looked at")
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -48,7 +48,7 @@
 	now := s.now()
 	s.keys.Sent(now, c.key, &s.settled.places[c.class].rules, to.Endpoint, c.mask.Met(to.pools))
 	if end, repeat := s.keys.RepeatBy(c.key); repeat {
-		repeatBy = time.Now().Add(end - now)
+		repeatBy = s.at(end)
 	}
 	n, ok := s.keys.NoteOf(now, c.key)
 	if !ok {
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -69,20 +69,25 @@
 	return New(table), s
 }
 
-// order takes the head of a keyed request, and answered has its answer.
-func order(t *testing.T, c *Core, id string, client Client) (x *Exchange, answered chan Answer) {
+// openOrder takes the head of a keyed request, of one key.
+func openOrder(t *testing.T, c *Core, id string, client Client) *Exchange {
 	t.Helper()
 	x, refused := c.Open(&Head{Method: "POST", Target: "/order", Host: "b", Client: client,
 		Header: http.Header{"Req-Id": {id}, "Req-Deadline": {"20000m"}, "Idempotency-Key": {"k"}}})
 	if refused != nil {
 		t.Fatal(refused)
 	}
+	return x
+}
+
+// do has a request answered.
+func do(x *Exchange) (answered chan Answer) {
 	answered = make(chan Answer, 1)
 	go func() {
 		a, _ := x.Do(context.Background(), nil)
 		answered <- a
 	}()
-	return x, answered
+	return answered
 }
 
 // leaves is a client that closes its connection, which nobody tells.
@@ -101,7 +106,8 @@
 		<-time.After(2 * lookAgain)
 		return nil
 	})
-	x, answered := order(t, c, "1", client)
+	x := openOrder(t, c, "1", client)
+	answered := do(x)
 	select {
 	case <-answered:
 	case <-came:
@@ -110,3 +116,55 @@
 		<-answered
 	}
 }
+
+// The process stands still between the moment that a request's time counts from and that at
+// which its attempt is given one: what passes meanwhile is not added to the request's time.
+func TestTimeThatPassesBeforeAnAttemptIsDecided(t *testing.T) {
+	const pause = 30 * time.Millisecond
+	for _, decided := range []bool{false, true} {
+		addr, came := silent(t)
+		c, s := orders(t, time.Minute, 10*time.Second, addr)
+		s.OnKeyed(func(keyed.Note) {
+			if decided {
+				<-time.After(pause)
+			}
+		})
+		x := openOrder(t, c, "1", nil)
+		x.Came()
+		latest := time.Now().Add(x.request.Left)
+		if !decided {
+			<-time.After(pause)
+		}
+		answered := do(x)
+		<-came
+		s.mu.Lock()
+		over := x.call.attempts[0].until.Sub(latest)
+		s.mu.Unlock()
+		if over > 0 {
+			t.Errorf("stood still after the decision: %t: the attempt may last for %v more than its request", decided, over)
+		}
+		x.Leave()
+		<-answered
+	}
+}
+
+// When a window ends does not depend on how long the process stood still while that was found.
+func TestWindowEndsByOneClock(t *testing.T) {
+	addr, came := silent(t)
+	c, s := orders(t, time.Minute, 10*time.Second, addr)
+	for _, id := range []string{"1", "2"} { // the same key
+		x := openOrder(t, c, id, nil)
+		answered := do(x)
+		<-came
+		s.mu.Lock()
+		a := x.call.attempts[0]
+		if end, repeat := s.keys.RepeatBy(x.key); repeat != (id == "2") || repeat && !a.repeatBy.Equal(s.start.Add(end-s.unixStart)) {
+			t.Errorf("request %s: repeat %t, by %v", id, repeat, a.repeatBy)
+		}
+		s.mu.Unlock()
+		defer func() {
+			x.Leave()
+			<-answered
+		}()
+	}
+}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -131,6 +131,7 @@
 	keyed    bool   // the request has a key
 	key      uint64 // hash of it
 
+	until      time.Time  // its client's time is over then
 	trace      *Trace     // nil: nobody looks on
 	mask       moves.Mask // which pools it meets
 	repeatable bool       // it may run any number of times
@@ -161,7 +162,13 @@
 
 // now is the module's clock: Unix time at the start and what has passed since.
 // It agrees with the registry's start times and does not jump.
-func (s *Service) now() time.Duration { return s.unixStart + time.Since(s.start) }
+func (s *Service) now() time.Duration { return s.clockAt(time.Now()) }
+
+// at is a time of the module's clock. Nothing passes between the readings of two clocks.
+func (s *Service) at(t time.Duration) time.Time { return s.start.Add(t - s.unixStart) }
+
+// clockAt is what the module's clock was at a time.
+func (s *Service) clockAt(t time.Time) time.Duration { return s.unixStart + t.Sub(s.start) }
 
 // event makes one call on the module and carries out its actions. A panic is
 // logged: it must not take the requests of others along.
@@ -275,6 +282,8 @@
 	}
 	c.id, q.ID = s.lastID, s.lastID
 	s.calls[c.id] = c
+	q.Left -= now - s.clockAt(c.exchange.came)
+	c.until = s.at(now + q.Left)
 	s.guard(c, q.Left+answerOverdue) // first: what follows may panic
 	s.pin(c, &q, now, c.exchange.head.Header)
 	if c.trace != nil {
@@ -377,9 +386,13 @@
 			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
 		}
 	}
-	a.to, a.note, a.until = e, note, time.Now().Add(to.Timeout)
+	decided := time.Now() // or later: the process may have stood still since the module read its clock
+	a.to, a.note, a.until = e, note, decided.Add(to.Timeout)
+	if a.until.After(c.until) {
+		a.until = c.until
+	}
 	if a.there = c.exchange.opened; a.n > 0 { // it was looked for above
-		a.there = time.Now()
+		a.there = decided
 	}
 	if c.here && c.next == nil {
 		c.next = a
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -283,6 +283,7 @@
 		p.drop(a)
 		return p.refuse(a, body, true)
 	}
+	x.Came()
 	if p.extra.Load() || p.full && p.readable() {
 		p.drop(nil)
 		return p.write(followsTooSoon(), true)
