core: an attempt that waited is a repeat if another of its key was sent before it

What callers saw: a keyed request could run twice. Its first attempt waits (for the disk, a place or a connection that comes up late), a hedged one is sent before it, runs and is not answered; when the first gets its connection the window in which endpoints drop repeats is over, and it was written.

Cause: whether an attempt is a repeat, and until when, was found as it was decided (service.go, send; Terms.RepeatBy). The first attempt was none then, so that the permit asked right before its first byte had no window to hold it to. It takes a deadline longer than the window: with 5 s for both the first attempt would have had to come up after its client's time.

Change: an attempt that begins more than 5 ms after its decision asks the table of keys once more, under the service's lock; so does the look after the write, which counts violations. What the table does not remember any more, though another attempt may have run, is over. Another request of the same key counts as well.

TestFirstAttemptIsTheRepeat failed before.

--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -26,8 +26,8 @@
 	l.now.Store(uint32(next))
 }
 
-// lookAgain is the time after which a client is looked for once more before its attempt begins.
-// Sooner, word of its leaving would hardly be known.
+// lookAgain is the time after which a client, and what became of its key, is looked for once more
+// before its attempt begins. Sooner, word of its leaving would hardly be known.
 const lookAgain = 5 * time.Millisecond
 
 // Look fills in what is known now of an attempt that was decided before, for upstream.
@@ -40,9 +40,30 @@
 	facts.Unsafe = a.call.req.Once
 	if time.Since(a.there) > lookAgain {
 		facts.ClientLeft = a.call.exchange.clientLeft()
+		if by := a.windowEnds(); !by.IsZero() {
+			facts.RepeatBy = max(facts.Now+time.Until(by), 1)
+		}
 	}
 }
 
+// windowEnds is when the key's window ends, also where the attempt has become a repeat since it
+// was decided: another one of the key was sent before it, and may have run. Zero: it is none.
+func (a *attempt) windowEnds() time.Time {
+	c, s := a.call, a.call.exchange.service
+	if !c.keyed {
+		return time.Time{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch end, repeat := s.keys.RepeatBy(c.key); {
+	case repeat:
+		return s.at(end)
+	case c.unsure > 1:
+		return s.start // it is remembered no more, so its window is over
+	}
+	return a.repeatBy
+}
+
 // Wrote looks whether an attempt whose first byte has been written broke a rule: its process
 // may have been held up since the look.
 func (a *attempt) Wrote(after time.Duration) {
@@ -54,8 +75,12 @@
 		At: s.now(), Endpoint: permit.Listing(a.listing.now.Load()), Since: time.Duration(a.listing.since.Load()),
 		Grace: max(s.grace, permit.HoldUp), Unsafe: a.call.req.Once, MayHaveRun: a.doubt,
 	}
-	if !a.repeatBy.IsZero() {
-		w.RepeatBy = s.clockAt(a.repeatBy)
+	by := a.repeatBy
+	if time.Since(a.there) > lookAgain {
+		by = a.windowEnds()
+	}
+	if !by.IsZero() {
+		w.RepeatBy = s.clockAt(by)
 	}
 	if rule, broken := w.Violates(); broken {
 		s.violated(rule, a, "written "+after.String()+" after it was looked at")
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -13,6 +13,7 @@
 	"spokegw/internal/discovery"
 	"spokegw/internal/figures"
 	"spokegw/internal/keyed"
+	"spokegw/internal/permit"
 	"spokegw/internal/upstream"
 	"spokegw/policy"
 )
@@ -168,3 +169,50 @@
 		}()
 	}
 }
+
+// The first attempt of a key waits, a hedged one is sent before it and may have run: by now
+// the first is the repeat, and it is not written once the window of the other is over.
+func TestFirstAttemptIsTheRepeat(t *testing.T) {
+	const window = 2 * permit.HoldUp
+	first, came := silent(t)
+	second, cameToo := silent(t)
+	c, s := orders(t, window, 10*time.Millisecond, first, second)
+	waits, goesOn := make(chan struct{}), make(chan struct{})
+	s.OnDurable(func(_ context.Context, n keyed.Note) error {
+		select {
+		case <-waits: // the hedged one does not wait
+		default:
+			close(waits)
+			<-goesOn
+		}
+		return nil
+	})
+	x := openOrder(t, c, "1", nil)
+	answered := do(x)
+	<-waits
+	var ran time.Time
+	select {
+	case ran = <-came:
+	case ran = <-cameToo:
+	}
+	<-time.After(time.Until(ran.Add(window)))
+	close(goesOn)
+	var again []time.Time
+	for done := false; !done; <-time.After(time.Millisecond) {
+		s.mu.Lock()
+		done = x.call.open < 2 // the first has ended unsent
+		s.mu.Unlock()
+		select {
+		case at := <-came:
+			again, done = append(again, at), true
+		case at := <-cameToo:
+			again, done = append(again, at), true
+		default:
+		}
+	}
+	if len(again) > 0 {
+		t.Errorf("the key came again %v after the first time, the window is %v", again[0].Sub(ran), window)
+	}
+	x.Leave()
+	<-answered
+}
