core: what has sent nothing of a request ends as that is answered

What callers saw: an attempt was sent for a request that had its final answer, which costs an endpoint work, and of a keyed request is one more copy.

Cause: where attempts may not be called off (the limit "cancelling" of the settings), the module gives no word to end the others as one is answered (policy, callOff), and the core ended those that wait for a disk, a place or a connection only as the client left (service.go, left). The permit asked before the first byte looks whether the attempt was called off, which it was not.

Change: a call that is over, by an answer, the beginning of a long one or its client's leaving, ends its attempts that have sent nothing, in one place (call.end). What is out is not called off, as before.

--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -216,3 +216,55 @@
 	x.Leave()
 	<-answered
 }
+
+// A hedged request is answered while the first attempt waits, where attempts may not be called
+// off: nothing of that one has been sent, and nothing is any more.
+func TestNothingIsSentAfterTheAnswer(t *testing.T) {
+	for _, mayCancel := range []bool{false, true} {
+		first, came := counted(t)
+		second, cameToo := counted(t)
+		c, s := orders(t, time.Minute, 10*time.Millisecond, first, second)
+		s.settled.policy.Cancel = mayCancel
+		if err := s.balancer.Retune(s.settled.policy); err != nil {
+			t.Fatal(err)
+		}
+		waits, goesOn := make(chan struct{}), make(chan struct{})
+		s.OnDurable(func(context.Context, keyed.Note) error {
+			select {
+			case <-waits: // the hedged one does not wait
+			default:
+				close(waits)
+				<-goesOn
+			}
+			return nil
+		})
+		x := openOrder(t, c, "1", nil)
+		answered := do(x)
+		<-waits
+		var a Answer
+		if mayCancel { // its own goroutine makes the first attempt
+			for s.calling(x, 2) {
+				<-time.After(time.Millisecond)
+			}
+			close(goesOn)
+			a = <-answered
+		} else {
+			a = <-answered
+			close(goesOn)
+		}
+		a.Free()
+		for s.calling(x, 1) {
+			<-time.After(time.Millisecond)
+		}
+		if n := len(came) + len(cameToo); a.Status != http.StatusOK || n != 1 {
+			t.Errorf("may be called off: %t: answered %d, and %d attempts were sent", mayCancel, a.Status, n)
+		}
+	}
+}
+
+// calling reports whether so many attempts of a request are out, or its call is not over.
+func (s *Service) calling(x *Exchange, open int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.call == nil || !x.call.over || x.call.open >= open
+}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -307,13 +307,9 @@
 	})
 }
 
-// left has a call over without an answer. Attempts whose connection is still being made
-// are ended, also where the module may not call off what is out: nothing of them is.
+// left has a call over without an answer.
 func (s *Service) left(c *call) {
 	s.unsent(c)
-	for _, a := range c.attempts {
-		a.end.EndUnsent(upstream.ErrCalledOff)
-	}
 	s.conclude(c, Answer{})
 }
 
@@ -326,11 +322,20 @@
 	if c == nil || c.over {
 		return
 	}
-	c.over = true
+	c.end()
 	c.answer <- a
 	s.forget(c)
 }
 
+// end has a call over. Attempts that have sent nothing yet are ended, also where the module may
+// not call off what is out: nothing of them is.
+func (c *call) end() {
+	c.over = true
+	for _, a := range c.attempts {
+		a.end.EndUnsent(upstream.ErrCalledOff)
+	}
+}
+
 // forget drops a call of which nothing is left.
 func (s *Service) forget(c *call) {
 	if c.over && c.open == 0 {
@@ -442,7 +447,8 @@
 		if c.over {
 			return nil
 		}
-		wanted, c.over, c.by = true, true, a.n
+		wanted, c.by = true, a.n
+		c.end()
 		a.result = long
 		c.answer <- a.answer()
 		return b.StreamStarted(now, c.id, a.n)
@@ -479,7 +485,8 @@
 func (s *Service) attemptEnded(a *attempt, result upstream.Answer) {
 	c := a.call
 	if result.Result == policy.Served && !c.over {
-		c.over, c.by = true, a.n
+		c.by = a.n
+		c.end()
 		a.result = result
 		c.answer <- a.answer()
 	} else {
