handover, sidecar: a key is as old at the next process as it is

What callers saw: a keyed request that had run was sent again after its window, by a process that had taken over: 652 ms after the first time, where the window is 600 ms.

Cause: a key's note tells its age, and the process that adopts it counts on from when it does so. What passed in between was lost: while the note waited in a socket (a successor that is stopped; upgrade.go, follow), while a process started after it had been given the state, or had read it from the disk (upgrade.go, run; kept.go, adoptKeys), and between the note and its way to the disk (keyed.go, keepKey). The window was taken for as much longer.

Change: what is told between processes has the reading of the machine's clock (CLOCK_BOOTTIME, of one machine and run) at which it was as old as it says, and is aged by it as it is taken. The field is left out by versions before, whose keys are taken as they were. A key's note grows older on its way to the disk. A key is never remembered for less than before. Tests name the fields of handover.Key now, as there is one more; nothing else in them has changed.

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -65,14 +65,16 @@
 // request.
 func (s *Service) OnDurable(keep func(context.Context, keyed.Note) error) { s.durable = keep }
 
-// keepKey has a keyed request on the disk by a time, where that is asked for.
-func (s *Service) keepKey(ctx context.Context, n *keyed.Note, by time.Time) error {
-	if n == nil || s.durable == nil {
+// keepKey has the key of an attempt on the disk in its time, where that is asked for.
+func (s *Service) keepKey(a *attempt) error {
+	if a.note == nil || s.durable == nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, by)
+	ctx, cancel := context.WithDeadline(&a.end, a.until)
 	defer cancel()
-	return s.durable(ctx, *n)
+	n := *a.note
+	n.Age += time.Since(a.decided) // some time may have passed since it was noted
+	return s.durable(ctx, n)
 }
 
 // noteEnded notes the end of an attempt that was sent.
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -268,3 +268,25 @@
 	defer s.mu.Unlock()
 	return x.call == nil || !x.call.over || x.call.open >= open
 }
+
+// The process stands still between a key's note and its way to the disk: it is kept as old as it is
+// by then, or the next process would take its window for as much longer.
+func TestKeyIsKeptAsOldAsItIs(t *testing.T) {
+	const pause = 30 * time.Millisecond
+	addr, came := silent(t)
+	c, s := orders(t, time.Minute, 10*time.Second, addr)
+	s.OnKeyed(func(keyed.Note) { <-time.After(pause) })
+	age := make(chan time.Duration, 1)
+	s.OnDurable(func(_ context.Context, n keyed.Note) error {
+		age <- n.Age
+		return nil
+	})
+	x := openOrder(t, c, "1", nil)
+	answered := do(x)
+	<-came
+	if was := <-age; was < pause {
+		t.Errorf("it was sent %v ago at least, and is kept as %v old", pause, was)
+	}
+	x.Leave()
+	<-answered
+}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -153,6 +153,7 @@
 	outcome  upstream.Answer // of one that the request's own goroutine has made
 	to       upstream.Endpoint
 	note     *keyed.Note
+	decided  time.Time // or a little earlier
 	there    time.Time // when its client was known not to have left
 	until    time.Time // given up then; told at its decision, since some time may pass before it is made
 	repeatBy time.Time // the window for repeats ends then; zero: it is none
@@ -376,6 +377,7 @@
 	}
 	c.unsure++
 	c.open++
+	a.decided = time.Now()
 	var e upstream.Endpoint // no such endpoint: it can't be connected to
 	var note *keyed.Note
 	if known := s.endpoints.byID[to.Endpoint]; known != nil {
@@ -391,13 +393,12 @@
 			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
 		}
 	}
-	decided := time.Now() // or later: the process may have stood still since the module read its clock
-	a.to, a.note, a.until = e, note, decided.Add(to.Timeout)
-	if a.until.After(c.until) {
+	a.to, a.note, a.until = e, note, a.decided.Add(to.Timeout)
+	if a.until.After(c.until) { // the process may have stood still since the module read its clock
 		a.until = c.until
 	}
 	if a.there = c.exchange.opened; a.n > 0 { // it was looked for above
-		a.there = decided
+		a.there = a.decided
 	}
 	if c.here && c.next == nil {
 		c.next = a
@@ -427,7 +428,7 @@
 		}()
 	}()
 	defer logPanic("attempt")
-	if s.keepKey(&a.end, a.note, a.until) != nil {
+	if s.keepKey(a) != nil {
 		result = upstream.Answer{Result: policy.NotSent, Refused: a.notKept()} // nobody would know of it after a kill
 		return nil
 	}
--- a/internal/handover/conn_test.go
+++ b/internal/handover/conn_test.go
@@ -116,7 +116,7 @@
 	if m := await(t, "what discovery told", told); m.Version != 8 || m.Entries[0].ID != "s-2" {
 		t.Errorf("%+v", m)
 	}
-	o.TellKey(Key{maps, keyed.Note{Key: 9, Cell: 4}})
+	o.TellKey(Key{Of: maps, Note: keyed.Note{Key: 9, Cell: 4}})
 	if k := await(t, "a keyed request", keys); !k.Is(maps) || k.Key != 9 || k.Cell != 4 {
 		t.Errorf("%+v", k)
 	}
--- a/internal/handover/kept_test.go
+++ b/internal/handover/kept_test.go
@@ -16,7 +16,7 @@
 	h := newHost(t)
 	path := Path(t.TempDir(), h.addr())
 	o := offer(t, path, h)
-	key := Key{maps, keyed.Note{Key: 9}}
+	key := Key{Of: maps, Note: keyed.Note{Key: 9}}
 	if err := o.KeepKey(t.Context(), key); !errors.Is(err, ErrNotKept) {
 		t.Errorf("without a successor: %v", err)
 	}
@@ -71,12 +71,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	words := make(chan error, mostUnkept+1)
 	for range mostUnkept {
-		go func() { words <- o.KeepKey(ctx, Key{maps, keyed.Note{}}) }()
+		go func() { words <- o.KeepKey(ctx, Key{Of: maps, Note: keyed.Note{}}) }()
 	}
 	for range mostUnkept {
 		await(t, "a key", numbers)
 	}
-	if err := o.KeepKey(t.Context(), Key{maps, keyed.Note{}}); !errors.Is(err, ErrNotKept) {
+	if err := o.KeepKey(t.Context(), Key{Of: maps, Note: keyed.Note{}}); !errors.Is(err, ErrNotKept) {
 		t.Errorf("one more: %v", err)
 	}
 	cancel()
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"time"
 
 	"spokegw/internal/broker"
 	"spokegw/internal/discovery"
@@ -66,8 +67,9 @@
 
 // State is what one process knows that the next should.
 type State struct {
-	IDs      IDs  // of requests taken of late
-	Drained  bool `json:",omitempty"` // the sidecar is, by operators
+	At       time.Duration `json:",omitempty"` // by the machine's clock, before it was collected; 0: not known
+	IDs      IDs           // of requests taken of late
+	Drained  bool          `json:",omitempty"` // the sidecar is, by operators
 	Services []Service
 }
 
@@ -108,6 +110,23 @@
 type Key struct {
 	Of
 	keyed.Note
+	At time.Duration `json:",omitempty"` // by the machine's clock, when it was as old as the note says; 0: not known
+}
+
+// Aged is the key at a time of the machine's clock, which both processes go by: either may have
+// stood still while it was told.
+func (k Key) Aged(now time.Duration) Key {
+	k.Note = Aged(k.Note, k.At, now)
+	k.At = now
+	return k
+}
+
+// Aged is a note that was as old as it says at a time, at a later one. It is remembered no shorter.
+func Aged(n keyed.Note, at, now time.Duration) keyed.Note {
+	if at > 0 {
+		n.Age += max(now-at, 0)
+	}
+	return n
 }
 
 // Members are entries from discovery: the whole list, or only changes.
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -36,6 +36,7 @@
 	Beside    *Scene               // another process of the sidecar, whose endpoints and registry are used; nil: own ones
 	Disk      journal.Disk         // that is kept on; nil: the machine's
 	Folder    string               // that processes of the sidecar share; "": none
+	Made      func()               // is called when the sidecar is made, before it runs; nil: nothing is
 	HTTP3     bool                 // with a front for HTTP/3, under a certificate of its own
 	HTTP3More string               // further settings of it
 }
@@ -128,6 +129,9 @@
 	if s.Sidecar, err = sidecar.New(s.config); err != nil {
 		return err
 	}
+	if c.Made != nil {
+		c.Made()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	go func() { s.ended <- s.Sidecar.Run(ctx) }()
--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -14,6 +14,16 @@
 	return n
 }
 
+// KeyAge is how long ago a keyed request was sent, of the one that the services remember.
+func (s *Sidecar) KeyAge() time.Duration {
+	for _, r := range s.running() {
+		for _, n := range r.service.Known(1).Keys {
+			return n.Age
+		}
+	}
+	return -1
+}
+
 // Places counts the places for classes that the platform's service has.
 func (s *Sidecar) Places() int { return len(s.running()[0].service.Names()) }
 
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -59,11 +59,13 @@
 	if image == nil && tail == nil {
 		return nil
 	}
+	at := state.Now().Since
 	st, err := state.Decode(s.config.Name, image, tail)
 	if err != nil {
 		slog.Warn("starting from nothing: what was kept can't be used", "error", err)
 		return nil
 	}
+	st.At = at // its keys are as old as they were then, or some more
 	keys := 0
 	for i := range st.Services {
 		keys += len(st.Services[i].Keys)
@@ -136,9 +138,13 @@
 		return
 	}
 	var err error
+	at := state.Now().Since
 	if s.keys.last, s.keys.hash, s.keys.hashed, err = store.Load(); err != nil {
 		slog.Error("what was kept of keys can't be read", "error", err)
 	}
+	for i := range s.keys.last {
+		s.keys.last[i].At = at // they are as old as they were then, or some more
+	}
 	slog.Info("starting from what was kept", "what", "keys", "keys", len(s.keys.last))
 	s.keys.store.Store(store)
 }
@@ -150,7 +156,7 @@
 	if s.keys.hashed && s.keys.hash == hash {
 		for _, k := range s.keys.last {
 			if r := s.find(k.Of); r != nil {
-				r.service.AdoptKey(k.Note)
+				r.service.AdoptKey(k.Aged(state.Now().Since).Note)
 			}
 		}
 	}
@@ -223,7 +229,7 @@
 	if s.begun.Keys != operator.KeysBefore {
 		return nil // the successor is told, and keeps
 	}
-	if err := s.upgrade.offerer.KeepKey(ctx, k); !errors.Is(err, handover.ErrKeepsNot) {
+	if err := s.upgrade.offerer.KeepKey(ctx, k.Aged(state.Now().Since)); !errors.Is(err, handover.ErrKeepsNot) {
 		return err
 	}
 	return nil
--- a/internal/sidecar/kept_test.go
+++ b/internal/sidecar/kept_test.go
@@ -192,3 +192,36 @@
 		t.Errorf("%s", text)
 	}
 }
+
+// A process takes long to start between being told of a key, or reading it, and serving: the key
+// is as old there as it is.
+func TestKeysGrowOlderAsAProcessStarts(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	for _, read := range []bool{false, true} {
+		c := scene.Config{Listen: address(t), Folder: t.TempDir(), Maps: []lab.EndpointConfig{{Workers: 1}}, Deadline: 9 * time.Second, Window: 30 * time.Second,
+			Operator: moveFile(fmt.Sprintf("\n[state]\ndirectory = %q\nkeys = \"before\"\n", t.TempDir()))}
+		old := startReady(t, c)
+		conn := connect(t, old.Addr())
+		sent := time.Now()
+		sendReport(t, conn, "first", "key")
+		if status := answered(t, conn); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+		took := time.Since(sent)
+		if read {
+			old.Stop()
+			old.Wait()
+		}
+		c.Maps, c.Beside, c.Made = nil, old, func() { <-time.After(pause) }
+		next := startReady(t, c)
+		least := time.Since(sent) - took
+		if age := next.Sidecar.KeyAge(); age < least {
+			t.Errorf("read from a disk: %t: the key is %v old, %v is expected at least", read, age, least)
+		}
+		for _, s := range []*scene.Scene{old, next} {
+			if s.Stop(); s.Wait() != nil {
+				t.Error(s.Wait())
+			}
+		}
+	}
+}
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -13,6 +13,7 @@
 	"spokegw/internal/discovery"
 	"spokegw/internal/handover"
 	"spokegw/internal/operator"
+	"spokegw/internal/state"
 )
 
 // upgrade is the standing of this process between the one before it and the one
@@ -96,6 +97,9 @@
 	if before := u.before; before != nil {
 		for _, r := range u.sidecar.running() {
 			if k := before.Find(r.of); k != nil {
+				for i, n := range k.Keys { // the start has taken some time
+					k.Keys[i] = handover.Aged(n, before.At, state.Now().Since)
+				}
 				r.service.Adopt(core.Known{Classes: k.Classes, Learnt: k.Learnt, Standing: k.Standing, Keys: k.Keys, Disabled: k.Disabled, Moves: k.Moves})
 			}
 		}
@@ -134,6 +138,7 @@
 			u.tell(m) // a successor may be there already
 		}
 	}, func(k handover.Key, number uint64) {
+		k = k.Aged(state.Now().Since)
 		if r := u.sidecar.find(k.Of); r != nil {
 			r.service.AdoptKey(k.Note)
 			u.noteKey(k)
@@ -170,7 +175,7 @@
 		return
 	}
 	select {
-	case u.keys <- k:
+	case u.keys <- k.Aged(state.Now().Since):
 	default:
 	}
 }
@@ -257,7 +262,7 @@
 
 // state is what this process knows that the next should.
 func (u *upgrade) state() *handover.State {
-	st := &handover.State{Drained: u.sidecar.drained.Load()}
+	st := &handover.State{At: state.Now().Since, Drained: u.sidecar.drained.Load()}
 	st.IDs.Key, st.IDs.Hashes = u.sidecar.core.IDs()
 	for _, r := range u.sidecar.running() {
 		of := handover.Service{Of: r.of}
