--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,6 +138,8 @@
 	service *Service
 	place   *place // of its class
 	head    *Head
+	opened  time.Time
+	came    time.Time // whole, as its time counts from then; zero: not yet
 	request policy.Request
 	ticket  *ticket // nil: no contracts are in force
 	keyed   bool    // it has a key
@@ -169,7 +171,7 @@
 			class.open.Add(-1)
 			continue
 		}
-		x := &Exchange{core: c, service: m.Service, place: class.place, head: h, request: q}
+		x := &Exchange{core: c, service: m.Service, place: class.place, head: h, opened: time.Now(), request: q}
 		x.trace = c.taps.begin(h, m.name, class.name, class.rules.Aim)
 		if refused := x.service.admit(x); refused != nil {
 			x.release()
@@ -233,7 +235,10 @@
 	return x.Do(ctx, held)
 }
 
-// Do has the request, which has come whole just now, answered. It returns
+// Came notes that the request has come whole just now: its time counts from then.
+func (x *Exchange) Came() { x.came = time.Now() }
+
+// Do has the request answered, which has come whole just now unless Came was called. It returns
 // ErrGone, and no answer, if ctx ends, or Leave is called, before there is one.
 func (x *Exchange) Do(ctx context.Context, body []byte) (Answer, error) {
 	id := x.head.Header.Get("Req-Id")
@@ -246,6 +251,9 @@
 		x.keyed, x.key = true, x.core.ids.hash(x.head.Header.Get("Req-Owner"), x.head.Header.Get("Idempotency-Key"))
 	}
 	x.place.count.Take()
+	if x.came.IsZero() {
+		x.Came()
+	}
 	x.request.Left -= answerMargin
 	patience := x.request.Left
 	x.request.Left += x.request.Upload
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -131,6 +131,7 @@
 	keyed    bool   // the request has a key
 	key      uint64 // hash of it
 
+	until      time.Time  // its client's time is over then
 	trace      *Trace     // nil: nobody looks on
 	mask       moves.Mask // which pools it meets
 	repeatable bool       // it may run any number of times
@@ -152,6 +153,8 @@
 	outcome  upstream.Answer // of one that the request's own goroutine has made
 	to       upstream.Endpoint
 	note     *keyed.Note
+	decided  time.Time // or a little earlier
+	there    time.Time // when its client was known not to have left
 	until    time.Time // given up then; told at its decision, since some time may pass before it is made
 	repeatBy time.Time // the window for repeats ends then; zero: it is none
 	listing  *listing  // of its endpoint; nil: it is in no list
@@ -160,7 +163,13 @@
 
 // now is the module's clock: Unix time at the start and what has passed since.
 // It agrees with the registry's start times and does not jump.
-func (s *Service) now() time.Duration { return s.unixStart + time.Since(s.start) }
+func (s *Service) now() time.Duration { return s.clockAt(time.Now()) }
+
+// at is a time of the module's clock. Nothing passes between the readings of two clocks.
+func (s *Service) at(t time.Duration) time.Time { return s.start.Add(t - s.unixStart) }
+
+// clockAt is what the module's clock was at a time.
+func (s *Service) clockAt(t time.Time) time.Duration { return s.unixStart + t.Sub(s.start) }
 
 // event makes one call on the module and carries out its actions. A panic is
 // logged: it must not take the requests of others along.
@@ -274,6 +283,8 @@
 	}
 	c.id, q.ID = s.lastID, s.lastID
 	s.calls[c.id] = c
+	q.Left -= now - s.clockAt(c.exchange.came)
+	c.until = s.at(now + q.Left)
 	s.guard(c, q.Left+answerOverdue) // first: what follows may panic
 	s.pin(c, &q, now, c.exchange.head.Header)
 	if c.trace != nil {
@@ -297,13 +308,9 @@
 	})
 }
 
-// left has a call over without an answer. Attempts whose connection is still being made
-// are ended, also where the module may not call off what is out: nothing of them is.
+// left has a call over without an answer.
 func (s *Service) left(c *call) {
 	s.unsent(c)
-	for _, a := range c.attempts {
-		a.end.EndUnsent(upstream.ErrCalledOff)
-	}
 	s.conclude(c, Answer{})
 }
 
@@ -316,11 +323,20 @@
 	if c == nil || c.over {
 		return
 	}
-	c.over = true
+	c.end()
 	c.answer <- a
 	s.forget(c)
 }
 
+// end has a call over. Attempts that have sent nothing yet are ended, also where the module may
+// not call off what is out: nothing of them is.
+func (c *call) end() {
+	c.over = true
+	for _, a := range c.attempts {
+		a.end.EndUnsent(upstream.ErrCalledOff)
+	}
+}
+
 // forget drops a call of which nothing is left.
 func (s *Service) forget(c *call) {
 	if c.over && c.open == 0 {
@@ -361,6 +377,7 @@
 	}
 	c.unsure++
 	c.open++
+	a.decided = time.Now()
 	var e upstream.Endpoint // no such endpoint: it can't be connected to
 	var note *keyed.Note
 	if known := s.endpoints.byID[to.Endpoint]; known != nil {
@@ -376,7 +393,13 @@
 			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
 		}
 	}
-	a.to, a.note, a.until = e, note, time.Now().Add(to.Timeout)
+	a.to, a.note, a.until = e, note, a.decided.Add(to.Timeout)
+	if a.until.After(c.until) { // the process may have stood still since the module read its clock
+		a.until = c.until
+	}
+	if a.there = c.exchange.opened; a.n > 0 { // it was looked for above
+		a.there = a.decided
+	}
 	if c.here && c.next == nil {
 		c.next = a
 		return
@@ -405,7 +428,7 @@
 		}()
 	}()
 	defer logPanic("attempt")
-	if s.keepKey(&a.end, a.note, a.until) != nil {
+	if s.keepKey(a) != nil {
 		result = upstream.Answer{Result: policy.NotSent, Refused: a.notKept()} // nobody would know of it after a kill
 		return nil
 	}
@@ -425,7 +448,8 @@
 		if c.over {
 			return nil
 		}
-		wanted, c.over, c.by = true, true, a.n
+		wanted, c.by = true, a.n
+		c.end()
 		a.result = long
 		c.answer <- a.answer()
 		return b.StreamStarted(now, c.id, a.n)
@@ -462,7 +486,8 @@
 func (s *Service) attemptEnded(a *attempt, result upstream.Answer) {
 	c := a.call
 	if result.Result == policy.Served && !c.over {
-		c.over, c.by = true, a.n
+		c.by = a.n
+		c.end()
 		a.result = result
 		c.answer <- a.answer()
 	} else {
