broker: that little was asked for does not count as little capacity

A sidecar that had contracts refused 10 to 25% of the requests for seconds although the endpoints answered all that they were sent in 2 ms, and logged `too little capacity`.

Cause: while nothing waits, the estimate of the capacity is what was answered of late. That is what was asked for, or read by a process that was held up, and the first window even began with the process: eight answers over half a second of idling. What comes at once after that is more than could be answered in time at such a rate (capacity.begun), so shares are enforced, and the estimate is raised by 2% a window from there.

A window begins with the first attempt now where nothing was out before it, and what is answered while nothing waits is only a lower bound: the estimate sinks by it no faster than by a factor of e in 30 s. What really waits, and what is answered while shares are enforced, are judged as before.

Both tests failed before, and passed 200 times with -race.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -270,7 +270,7 @@
 	c.requests.charge(b.now, requests, 1)
 	c.work.charge(b.now, perWork, work)
 	b.shares.charge(&a.share, b.capacity.rate(), work)
-	b.capacity.begun(work)
+	b.capacity.begun(b.now, work)
 	a.tokens = math.Min(a.tokens+retryPerRequest, a.most)
 	return Ticket{account: a, call: c, class: class, work: work, admitted: b.now}, Verdict{Owed: b.capacity.tight}
 }
@@ -313,7 +313,7 @@
 	if !a.removed {
 		b.shares.charge(&a.share, b.capacity.rate(), t.work)
 	}
-	b.capacity.begun(t.work)
+	b.capacity.begun(b.now, t.work)
 	return true
 }
 
--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -73,6 +73,7 @@
 	lowQuantile  = 0.2
 	usualMemory  = 200.0
 	usualRise    = 30 * time.Second // to e times as much at the fastest
+	lullMemory   = 30 * time.Second // what was answered a second before counts e times less after it
 )
 
 func newCapacity(now time.Duration, classes int) capacity {
@@ -97,7 +98,10 @@
 func (c *capacity) queue() float64 { return math.Max(c.out/c.estimate-c.usual.value, 0) }
 
 // begun takes an attempt that goes out.
-func (c *capacity) begun(work float64) {
+func (c *capacity) begun(now time.Duration, work float64) {
+	if c.attempts == 0 && c.n == 0 && !c.refused { // nothing was asked for: that is no lack
+		c.open(now)
+	}
 	c.out += work
 	c.attempts++
 	switch {
@@ -169,6 +173,14 @@
 	c.opened, c.waits, c.n, c.done, c.refused = now, 0, 0, 0, false
 }
 
+// before is what is left at the end of a window of what was known at its beginning.
+func (c *capacity) before(now time.Duration) float64 {
+	if math.IsInf(c.estimate, 1) {
+		return 0
+	}
+	return c.estimate * math.Exp(-(now-c.opened).Seconds()/lullMemory.Seconds())
+}
+
 // judge ends a window.
 func (c *capacity) judge(now time.Duration) (empty bool) {
 	served := c.done / (now - c.opened).Seconds()
@@ -185,8 +197,8 @@
 	case !c.tight && waited > much:
 		c.estimate = math.Max(math.Max(served, c.served.value), leastRate)
 		c.tighten()
-	case !c.tight && waited <= hardly:
-		c.estimate, empty = math.Max(math.Max(served, c.served.value), leastRate), true
+	case !c.tight && waited <= hardly: // at least what is answered, and what was: less may have been asked for since
+		c.estimate, empty = math.Max(math.Max(served, c.served.value), math.Max(c.before(now), leastRate)), true
 	case !c.tight:
 		c.estimate = math.Max(c.estimate, served)
 	case waited <= hardly && !queued:
--- /dev/null
+++ b/internal/broker/standstill_test.go
@@ -0,0 +1,79 @@
+package broker
+
+import (
+	"testing"
+	"time"
+)
+
+// roomy is a service that answers at once whatever comes, in 1.5 ms and some, and strangers
+// who ask for 400 requests a second of two classes without hints of their work.
+type roomy struct {
+	*simulation
+	aim            time.Duration
+	asked, refused int
+}
+
+func newRoomy(t *testing.T, seed uint64, begins, aim time.Duration) *roomy {
+	terms := &Terms{Classes: 2, Strangers: &Contract{Share: 1, Calls: []Call{{Classes: AllClasses}}}}
+	r := &roomy{simulation: newSimulation(t, seed, terms, 0), aim: aim}
+	r.sends(0, 300, begins)
+	r.sends(1, 100, begins)
+	return r
+}
+
+// sends has requests of a class sent from a time on.
+func (r *roomy) sends(class int, rate float64, from time.Duration) {
+	due := from + seconds(r.rng.ExpFloat64()/rate)
+	r.at(due, func() {
+		r.request(class)
+		r.sends(class, rate, due)
+	})
+}
+
+func (r *roomy) request(class int) {
+	r.asked++
+	ticket, v := r.broker.Admit(r.now, "nobody", class, 0)
+	if v.Kind != Admitted {
+		r.refused++
+		return
+	}
+	sent := r.now
+	r.at(sent+seconds(0.0015+0.001*r.rng.ExpFloat64()), func() {
+		r.broker.Ended(r.now, &ticket, false, Answered, r.now-sent, r.aim)
+	})
+}
+
+// Clients ask for little for a while, and then for more at once: that little was asked for
+// tells nothing of the service.
+func TestBurstAfterLull(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		r := newRoomy(t, seed, 0, 4*time.Second)
+		r.run(2 * time.Second)
+		r.events = nil
+		r.sends(0, 12, r.now)
+		r.run(5 * time.Second)
+		for range 400 {
+			r.request(0)
+		}
+		if r.run(8 * time.Second); r.refused > 0 {
+			t.Errorf("%d of %d requests were refused", r.refused, r.asked)
+		}
+	})
+}
+
+// A sidecar has been up for a while before its first clients come, a few and then many at
+// once: that nobody asked before tells nothing of the service.
+func TestBurstAfterIdleStart(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		for idle := 500 * time.Millisecond; idle < 2*time.Second; idle += 100 * time.Millisecond {
+			r := newRoomy(t, seed, idle, 4*time.Second)
+			r.run(idle + 50*time.Millisecond)
+			for range 60 {
+				r.request(0)
+			}
+			if r.run(10 * time.Second); r.refused > 0 {
+				t.Errorf("%d of %d requests were refused, the first %v after the start", r.refused, r.asked, idle)
+			}
+		}
+	})
+}
