broker: the work of a class without hints is the least of its first answers

A service that answers in 2 ms had a class that counted as fifty times as dear as the other from its first answer on, for as long as the process lived.

Cause: the work of a class without hints was what its very first answer took (Broker.Ended), and never looked at again. A process that stands still while the first requests are out reads that answer late by as long.

The least of the first eight answers counts now, and then it stays. Answers under a hint are as they were, but that the first hint replaces what was learnt without one. TestFirstAnswerReadLate failed before.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -82,7 +82,9 @@
 	leastHint = 0.02
 	// unknownWork is what a request is charged, in seconds, before anything is known.
 	unknownWork = 0.01
-	workMemory  = 100.0 // requests that the mean work of a class looks back over
+	// firstAnswers are those that the work of a class is learnt from until there are hints.
+	firstAnswers = 8
+	workMemory   = 100.0 // requests that the mean work of a class looks back over
 )
 
 // Broker is the state of one service's contracts. It is for one goroutine.
@@ -92,6 +94,7 @@
 	shares    shares
 	capacity  capacity
 	work      []mean // by class, in seconds
+	unhinted  []int  // answers that it has been learnt from for want of hints, by class
 	now       time.Duration
 }
 
@@ -132,7 +135,7 @@
 // New makes a broker. The terms have been checked: shares are not negative and
 // sum to at most 1, classes are at most MaxClasses, limits are positive.
 func New(now time.Duration, t Terms) *Broker {
-	b := &Broker{now: now, teams: map[string]*account{}, work: make([]mean, t.Classes)}
+	b := &Broker{now: now, teams: map[string]*account{}, work: make([]mean, t.Classes), unhinted: make([]int, t.Classes)}
 	b.shares.last, b.capacity = now, newCapacity(now, t.Classes)
 	b.Replace(now, t)
 	return b
@@ -185,7 +188,7 @@
 // grow makes room for classes that have come.
 func (b *Broker) grow(classes int) {
 	for len(b.work) < classes {
-		b.work = append(b.work, mean{})
+		b.work, b.unhinted = append(b.work, mean{}), append(b.unhinted, 0)
 	}
 	for len(b.capacity.classes) < classes {
 		b.capacity.classes = append(b.capacity.classes, usual{})
@@ -275,6 +278,23 @@
 	return Ticket{account: a, call: c, class: class, work: work, admitted: b.now}, Verdict{Owed: b.capacity.tight}
 }
 
+// learn takes what an answer took for the work of a class without hints: better than
+// nothing. The least of the first answers counts, as one of them may have waited, also for
+// this process; it stays then, so that what was learnt of the capacity by it stays true.
+func (b *Broker) learn(class int, elapsed time.Duration) {
+	m, answers := &b.work[class], &b.unhinted[class]
+	switch {
+	case *answers == 0 && m.weight > 0 || *answers >= firstAnswers: // hinted, taken over or known
+		return
+	case *answers == 0:
+		m.add(elapsed.Seconds(), workMemory)
+	case elapsed.Seconds() < m.value:
+		m.value = elapsed.Seconds()
+		b.capacity.classes[class] = usual{}
+	}
+	*answers++
+}
+
 // overShare is how long a team has to wait for its share; 0: it does not.
 func (b *Broker) overShare(a *account) time.Duration {
 	if !b.capacity.tight || a.removed {
@@ -290,6 +310,9 @@
 func (b *Broker) charge(class int, hint float64) float64 {
 	m := &b.work[class]
 	if hint > 0 && !math.IsInf(hint, 0) {
+		if b.unhinted[class] > 0 { // what was learnt without
+			*m, b.unhinted[class] = mean{}, 0
+		}
 		m.add(hint, workMemory)
 		return math.Max(hint, leastHint*m.value)
 	}
@@ -332,8 +355,8 @@
 // tells that it was not the request's first. What never ran is given back.
 func (b *Broker) Ended(now time.Duration, t *Ticket, again bool, e Ending, elapsed, aim time.Duration) {
 	b.advance(now)
-	if e == Answered && b.work[t.class].weight == 0 {
-		b.work[t.class].add(elapsed.Seconds(), workMemory) // better than nothing until there are hints
+	if e == Answered {
+		b.learn(t.class, elapsed)
 	}
 	if e == Declined || e == Unrun {
 		b.giveBack(t, again)
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -77,3 +77,18 @@
 		}
 	})
 }
+
+// The first answer of a class without hints is read late, as the process stands still while
+// the first requests are out: the class does not count as that dear from then on.
+func TestFirstAnswerReadLate(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		for after := range 20 {
+			r := newRoomy(t, seed, 0, 4*time.Second)
+			r.run(time.Duration(after) * 2 * time.Millisecond)
+			r.stall(r.now + 100*time.Millisecond)
+			if r.run(r.now + time.Second); r.broker.work[0].value > 0.01 || r.broker.work[1].value > 0.01 {
+				t.Errorf("the work of requests of 2 ms is taken for %v after a pause, %d ms after the first", r.broker.work, 2*after)
+			}
+		}
+	})
+}
