broker: what a process held up by itself sees tells nothing of capacity

The windows in which the process had had no processor had few answers and a long time, and all that clients sent meanwhile was out at once after them.

Cause: the broker's clock runs on while its process stands still. Answers have had the sidecar's own delay taken off since [overload] exists, but only where that is set, and never the windows nor the work that is out.

The brake's look at how long ready work waits runs wherever there is an operator's file now; without [overload] it refuses nothing. Where it tells of a stall (stall.Detected: 50 ms and more) as a request is judged or an attempt ends, the broker is told (HeldUp): it begins its window anew, makes nothing of what was out, and looks at the work that is out again once a window has been judged. If none can be for 2 s, shares are no longer enforced. A sidecar without an operator's file has neither contracts nor the look.

Played beside a load of 30 to 40 the sidecar's test still fails at times, by a first window with few answers and by clients' own limits.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -351,11 +351,18 @@
 	Unrun                  // it never ran, and tells nothing of load
 )
 
+// HeldUp takes that this process has had no processor for a while, up to now: what came
+// and was answered meanwhile is told late, and tells nothing of the service.
+func (b *Broker) HeldUp(now time.Duration) {
+	b.advance(now)
+	b.capacity.hold(b.now)
+}
+
 // Ended takes the end of an attempt that Admit or Again has charged. again
 // tells that it was not the request's first. What never ran is given back.
 func (b *Broker) Ended(now time.Duration, t *Ticket, again bool, e Ending, elapsed, aim time.Duration) {
 	b.advance(now)
-	if e == Answered {
+	if e == Answered && t.admitted > b.capacity.heldUp {
 		b.learn(t.class, elapsed)
 	}
 	if e == Declined || e == Unrun {
--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -19,12 +19,14 @@
 // So a service that has truly become slower, and is no fuller for it, is taken
 // for a full one until the usual time has followed.
 type capacity struct {
-	estimate float64 // seconds of work a second; +Inf: not known yet
-	guess    bool    // nothing is known, but that it may be too much: the first window tells
-	seeking  bool    // since then nothing has waited
-	tight    bool    // there is too little for all: shares are enforced
-	out      float64 // work of the attempts that are out
-	attempts float64 // that are out
+	estimate float64       // seconds of work a second; +Inf: not known yet
+	guess    bool          // nothing is known, but that it may be too much: the first window tells
+	heldUp   time.Duration // when this process was last held up; what began before tells nothing
+	blind    time.Duration // since when no window could be judged for that; -1: it could
+	seeking  bool          // since then nothing has waited
+	tight    bool          // there is too little for all: shares are enforced
+	out      float64       // work of the attempts that are out
+	attempts float64       // that are out
 
 	// The window that is open: a tenth of a second, or more where little comes.
 	opened  time.Duration
@@ -69,6 +71,7 @@
 	seek         = 2.0
 	binding      = 0.7 // part of the estimate that is answered where it limits
 	keptEnough   = 10  // windows without a refusal after which there is enough for all
+	longestBlind = 2 * time.Second
 	leastRate    = 0.05
 	lowQuantile  = 0.2
 	usualMemory  = 200.0
@@ -77,7 +80,7 @@
 )
 
 func newCapacity(now time.Duration, classes int) capacity {
-	return capacity{estimate: math.Inf(1), opened: now, classes: make([]usual, classes)}
+	return capacity{estimate: math.Inf(1), opened: now, heldUp: math.MinInt64, blind: -1, classes: make([]usual, classes)}
 }
 
 // rate is the work a second that may be admitted now.
@@ -105,7 +108,7 @@
 	c.out += work
 	c.attempts++
 	switch {
-	case c.tight || c.attempts < crowd:
+	case c.tight || c.attempts < crowd || c.blind >= 0: // what came while the process was held up is out all at once
 	case math.IsInf(c.estimate, 1):
 		if c.attempts >= coldCrowd {
 			c.estimate, c.guess, c.seeking = leastRate, true, true
@@ -116,6 +119,20 @@
 	}
 }
 
+// hold takes that this process is held up, or was until now: how much is out, and how late
+// answers are, is its own doing. A window that this falls into tells nothing of the service,
+// nor what was out. Where no window can be judged for long, shares are not enforced
+// any more: nobody knows of too little.
+func (c *capacity) hold(now time.Duration) {
+	if c.heldUp = now; c.blind < 0 {
+		c.blind = now
+	}
+	if c.tight && now-c.blind > longestBlind {
+		c.tight = false
+	}
+	c.open(now)
+}
+
 func (c *capacity) tighten() { c.tight, c.clean, c.kept = true, 0, 0 }
 
 // ended takes the end of an attempt. It reports whether a window has ended in
@@ -125,6 +142,9 @@
 		c.attempts, c.out = 0, 0 // rounding errors do not pile up
 	}
 	c.out = math.Max(c.out-t.work, 0)
+	if now-elapsed <= c.heldUp || t.admitted <= c.heldUp { // it waited for this process
+		return false
+	}
 	if now-c.opened > 2*longWindow { // the process stood still, or nothing came: that was no load
 		c.open(now)
 		return false
@@ -183,6 +203,7 @@
 
 // judge ends a window.
 func (c *capacity) judge(now time.Duration) (empty bool) {
+	c.blind = -1
 	served := c.done / (now - c.opened).Seconds()
 	c.served.add(served, windowMemory)
 	waited := 0.0
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -92,3 +92,47 @@
 		}
 	})
 }
+
+// The process stands still at any moment of its first traffic, or over and over, and is told
+// of it as it goes on: nothing is refused, however much was sent meanwhile.
+func TestHeldUp(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		for _, aim := range []time.Duration{400 * time.Millisecond, 4 * time.Second} {
+			for _, pause := range []time.Duration{60 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+				for after := range 20 {
+					r := newRoomy(t, seed, 500*time.Millisecond, aim)
+					r.run(500*time.Millisecond + time.Duration(after)*5*time.Millisecond)
+					for range 4 {
+						r.heldUp(pause)
+						r.run(r.now + time.Duration(1+10*after)*time.Millisecond)
+					}
+					if r.run(r.now + 300*time.Millisecond); r.refused > 0 {
+						t.Errorf("%d of %d requests were refused in pauses of %v, %d ms after the first", r.refused, r.asked, pause, 5*after)
+					}
+				}
+			}
+		}
+	})
+}
+
+// heldUp has the process stand still, and be told of it by the first that it does after it.
+func (r *roomy) heldUp(pause time.Duration) {
+	until := r.now + pause
+	r.at(r.now+1, func() { r.broker.HeldUp(until) })
+	r.stall(until)
+}
+
+// Shares are enforced, and then the process is held up all the time: within seconds nobody
+// is refused for what was known before.
+func TestHeldUpWhileShort(t *testing.T) {
+	b := New(0, Terms{Classes: 1, Strangers: &Contract{Share: 1, Calls: []Call{{Classes: AllClasses}}}})
+	b.capacity.estimate = 0.1
+	b.capacity.tighten()
+	for now := time.Duration(0); now < 3*time.Second; now += 40 * time.Millisecond {
+		b.HeldUp(now)
+		_, v := b.Admit(now, "nobody", 0, 0.01)
+		if refused := v.Kind != Admitted; refused && now > 2*time.Second+40*time.Millisecond {
+			t.Fatalf("refused after %v", now)
+		}
+	}
+}
--- a/internal/core/contracts.go
+++ b/internal/core/contracts.go
@@ -82,6 +82,7 @@
 func (s *Service) judge(x *Exchange) *Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteStall()
 	t, v := s.broker.Admit(s.now(), x.head.Header.Get("Req-Owner"), x.request.Class, x.request.Cost)
 	switch v.Kind {
 	case broker.Admitted:
@@ -128,6 +129,7 @@
 // settle tells the broker how an attempt ended.
 func (s *Service) settle(c *call, a *attempt, result upstream.Answer) {
 	if c.ticket != nil {
+		s.noteStall()
 		aim := s.settled.places[c.class].rules.Aim
 		c.ticket.by.Ended(s.now(), &c.ticket.Ticket, a.n > 0, endings[result.Result], result.Elapsed, aim)
 		s.tellTight()
--- a/internal/core/delay.go
+++ b/internal/core/delay.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"spokegw/internal/stall"
 	"spokegw/internal/upstream"
 	"spokegw/policy"
 )
@@ -25,6 +26,17 @@
 // is to be set before the first request.
 func (s *Service) OnDelay(delay func() time.Duration) { s.delay = delay }
 
+// OnStall sets what tells the same to contracts alone, which need it on every machine. It
+// is to be set before the first request.
+func (s *Service) OnStall(delay func() time.Duration) { s.stalled = delay }
+
+// noteStall tells contracts of a processor that this sidecar waits for, or did of late.
+func (s *Service) noteStall() {
+	if s.stalled != nil && stall.Detected(s.stalled()) {
+		s.broker.HeldUp(s.now())
+	}
+}
+
 // own is that delay.
 func (s *Service) own() time.Duration {
 	if s.delay == nil {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -55,6 +55,7 @@
 	measured  *measured            // nil: no fleet has weights
 	grace     time.Duration        // for sends to an endpoint that drains, as told at the start
 	delay     func() time.Duration // of this sidecar's own processor; nil: not known
+	stalled   func() time.Duration // the same, for contracts
 }
 
 // ServiceConfig is what a service is made of.
--- a/internal/sidecar/brake.go
+++ b/internal/sidecar/brake.go
@@ -18,7 +18,8 @@
 // brakeLook is how often it is looked how long ready work waits for the processor.
 const brakeLook = 10 * time.Millisecond
 
-// brake holds the sidecar to what its own processor can do. Where it is off it is nil.
+// brake looks how long ready work waits for the processor, and holds the sidecar to what
+// that can do where an operator wants it to. Without an operator's file it is nil.
 type brake struct {
 	core    *core.Core
 	on      atomic.Bool   // some may be refused
@@ -28,15 +29,16 @@
 	due    atomic.Int64 // the next look, since begun
 
 	mu    sync.Mutex
-	brake *overload.Brake
+	brake *overload.Brake // nil: all are let in
 	begun time.Time
 }
 
 func newBrake(set *overload.Settings, c *core.Core) *brake {
-	if set == nil {
-		return nil
+	b := &brake{core: c, begun: time.Now()}
+	if set != nil {
+		b.brake = overload.New(0, *set)
 	}
-	return &brake{core: c, brake: overload.New(0, *set), begun: time.Now()}
+	return b
 }
 
 // look watches until ctx ends. How late its timer is tells of a processor that is taken
@@ -65,12 +67,18 @@
 // delay is how long ready work waits for the processor, of late or by now: while the next
 // look is overdue itself, as long as that.
 func (b *brake) delay() time.Duration {
+	if b == nil {
+		return 0
+	}
 	overdue := time.Since(b.begun) - time.Duration(b.due.Load())
 	return max(time.Duration(b.waited.Load()), overdue, 0)
 }
 
 func (b *brake) tell(waited time.Duration) {
 	b.waited.Store(int64(max(waited, time.Duration(b.waited.Load())*3/4)))
+	if b.brake == nil {
+		return
+	}
 	b.mu.Lock()
 	now := time.Since(b.begun)
 	_, since := b.brake.Braking()
@@ -110,7 +118,7 @@
 
 // door is what the front for HTTP/1.1 asks; nil: nothing.
 func (b *brake) door() http1.Door {
-	if b == nil {
+	if b == nil || b.brake == nil {
 		return nil
 	}
 	return b
--- a/internal/sidecar/brake_test.go
+++ b/internal/sidecar/brake_test.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// Without the section it is seen how long ready work waits, and nobody is refused for it.
+func TestLookWithoutBrake(t *testing.T) {
+	s := start(t, scene.Config{Operator: maps + contract("kiosks", 0.5, "service = 'maps'")})
+	b := s.Sidecar.NewLook()
+	b.Tell(time.Second)
+	if b.Refuses() || b.Judges() || b.Delay() < 500*time.Millisecond {
+		t.Errorf("a door %v, judges %v, ready work is said to wait for %v", b.Refuses(), b.Judges(), b.Delay())
+	}
+}
+
 // The settings are checked, and can't be changed by a reload.
 func TestBrakeSettings(t *testing.T) {
 	s := start(t, scene.Config{Operator: maps + contract("kiosks", 0.5, "service = 'maps'") + "[overload]\n"})
--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -21,5 +21,7 @@
 type Brake struct{ *brake }
 
 func (s *Sidecar) NewBrake(set overload.Settings) Brake { return Brake{newBrake(&set, s.core)} }
+func (s *Sidecar) NewLook() Brake                       { return Brake{newBrake(nil, s.core)} }
+func (b Brake) Refuses() bool                           { return b.door() != nil }
 func (b Brake) Tell(waited time.Duration)               { b.tell(waited) }
 func (b Brake) Delay() time.Duration                    { return b.delay() }
