broker: a crowd of attempts tells of too little only where it stands

With process stalls taken out, shares were still enforced in the first moments: `est=0.092 out=0.31 attempts=136` in a traced run, by eight answers of 2 ms and 135 requests that had come in the last moment and were answered in the next.

Cause: the early signal (capacity.begun) holds the work that is out against what was answered, at once. An estimate of few answers is low, and a burst is out for as long as an answer takes.

The crowd of 24 has to have been out for 2% of the wanted time without falling below that number. A queue that can't be answered in half of the wanted time stands for longer.

--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -23,6 +23,7 @@
 	guess    bool          // nothing is known, but that it may be too much: the first window tells
 	heldUp   time.Duration // when this process was last held up; what began before tells nothing
 	blind    time.Duration // since when no window could be judged for that; -1: it could
+	crowded  time.Duration // since when a crowd is out without an end
 	seeking  bool          // since then nothing has waited
 	tight    bool          // there is too little for all: shares are enforced
 	out      float64       // work of the attempts that are out
@@ -60,7 +61,8 @@
 	hardly       = 0.08        // of the wanted time waited, up to which nothing queues
 	much         = 0.25        // from which there is too little
 	farTooMuch   = 0.5         // by the work that is out, from which there is too little at once,
-	crowd        = 24.0        // with so many attempts out: few of them tell nothing
+	crowd        = 24.0        // with so many attempts out: few of them tell nothing,
+	stands       = 0.02        // nor such that are answered within that part of the wanted time
 	coldCrowd    = 96.0        // attempts out from which there is too little while nothing is known
 	drainTime    = 0.5         // s, in which a queue is to be drained
 	deepestDrain = 0.6         // part of the capacity that is left unused for that at most
@@ -106,7 +108,9 @@
 		c.open(now)
 	}
 	c.out += work
-	c.attempts++
+	if c.attempts++; c.attempts == crowd {
+		c.crowded = now
+	}
 	switch {
 	case c.tight || c.attempts < crowd || c.blind >= 0: // what came while the process was held up is out all at once
 	case math.IsInf(c.estimate, 1):
@@ -114,7 +118,7 @@
 			c.estimate, c.guess, c.seeking = leastRate, true, true
 			c.tighten()
 		}
-	case c.queue() > farTooMuch*c.aim.value:
+	case now-c.crowded > seconds(stands*c.aim.value) && c.queue() > farTooMuch*c.aim.value:
 		c.tighten()
 	}
 }
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -136,3 +136,22 @@
 		}
 	}
 }
+
+// Few answers are read and many requests are sent in the first moments of a sidecar: that is
+// no lack while what is out is answered before it is old.
+func TestCrowdThatDoesNotStand(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		r := newRoomy(t, seed, 0, 4*time.Second)
+		r.events = nil
+		for range 10 { // answers of 0.2 s
+			r.request(0)
+			r.run(r.now + 20*time.Millisecond)
+		}
+		for range 300 {
+			r.request(0)
+		}
+		if r.run(r.now + time.Second); r.refused > 0 {
+			t.Errorf("%d of %d requests were refused", r.refused, r.asked)
+		}
+	})
+}
