--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -19,12 +19,15 @@
 // So a service that has truly become slower, and is no fuller for it, is taken
 // for a full one until the usual time has followed.
 type capacity struct {
-	estimate float64 // seconds of work a second; +Inf: not known yet
-	guess    bool    // nothing is known, but that it may be too much: the first window tells
-	seeking  bool    // since then nothing has waited
-	tight    bool    // there is too little for all: shares are enforced
-	out      float64 // work of the attempts that are out
-	attempts float64 // that are out
+	estimate float64       // seconds of work a second; +Inf: not known yet
+	guess    bool          // nothing is known, but that it may be too much: the first window tells
+	heldUp   time.Duration // when this process was last held up; what began before tells nothing
+	blind    time.Duration // since when no window could be judged for that; -1: it could
+	crowded  time.Duration // since when a crowd is out without an end
+	seeking  bool          // since then nothing has waited
+	tight    bool          // there is too little for all: shares are enforced
+	out      float64       // work of the attempts that are out
+	attempts float64       // that are out
 
 	// The window that is open: a tenth of a second, or more where little comes.
 	opened  time.Duration
@@ -58,7 +61,8 @@
 	hardly       = 0.08        // of the wanted time waited, up to which nothing queues
 	much         = 0.25        // from which there is too little
 	farTooMuch   = 0.5         // by the work that is out, from which there is too little at once,
-	crowd        = 24.0        // with so many attempts out: few of them tell nothing
+	crowd        = 24.0        // with so many attempts out: few of them tell nothing,
+	stands       = 0.02        // nor such that are answered within that part of the wanted time
 	coldCrowd    = 96.0        // attempts out from which there is too little while nothing is known
 	drainTime    = 0.5         // s, in which a queue is to be drained
 	deepestDrain = 0.6         // part of the capacity that is left unused for that at most
@@ -69,14 +73,16 @@
 	seek         = 2.0
 	binding      = 0.7 // part of the estimate that is answered where it limits
 	keptEnough   = 10  // windows without a refusal after which there is enough for all
+	longestBlind = 2 * time.Second
 	leastRate    = 0.05
 	lowQuantile  = 0.2
 	usualMemory  = 200.0
 	usualRise    = 30 * time.Second // to e times as much at the fastest
+	lullMemory   = 30 * time.Second // what was answered a second before counts e times less after it
 )
 
 func newCapacity(now time.Duration, classes int) capacity {
-	return capacity{estimate: math.Inf(1), opened: now, classes: make([]usual, classes)}
+	return capacity{estimate: math.Inf(1), opened: now, heldUp: math.MinInt64, blind: -1, classes: make([]usual, classes)}
 }
 
 // rate is the work a second that may be admitted now.
@@ -97,21 +103,40 @@
 func (c *capacity) queue() float64 { return math.Max(c.out/c.estimate-c.usual.value, 0) }
 
 // begun takes an attempt that goes out.
-func (c *capacity) begun(work float64) {
+func (c *capacity) begun(now time.Duration, work float64) {
+	if c.attempts == 0 && c.n == 0 && !c.refused { // nothing was asked for: that is no lack
+		c.open(now)
+	}
 	c.out += work
-	c.attempts++
+	if c.attempts++; c.attempts == crowd {
+		c.crowded = now
+	}
 	switch {
-	case c.tight || c.attempts < crowd:
+	case c.tight || c.attempts < crowd || c.blind >= 0: // what came while the process was held up is out all at once
 	case math.IsInf(c.estimate, 1):
 		if c.attempts >= coldCrowd {
 			c.estimate, c.guess, c.seeking = leastRate, true, true
 			c.tighten()
 		}
-	case c.queue() > farTooMuch*c.aim.value:
+	case now-c.crowded > seconds(stands*c.aim.value) && c.queue() > farTooMuch*c.aim.value:
 		c.tighten()
 	}
 }
 
+// hold takes that this process is held up, or was until now: how much is out, and how late
+// answers are, is its own doing. A window that this falls into tells nothing of the service,
+// nor what was out. Where no window can be judged for long, shares are not enforced
+// any more: nobody knows of too little.
+func (c *capacity) hold(now time.Duration) {
+	if c.heldUp = now; c.blind < 0 {
+		c.blind = now
+	}
+	if c.tight && now-c.blind > longestBlind {
+		c.tight = false
+	}
+	c.open(now)
+}
+
 func (c *capacity) tighten() { c.tight, c.clean, c.kept = true, 0, 0 }
 
 // ended takes the end of an attempt. It reports whether a window has ended in
@@ -121,6 +146,9 @@
 		c.attempts, c.out = 0, 0 // rounding errors do not pile up
 	}
 	c.out = math.Max(c.out-t.work, 0)
+	if now-elapsed <= c.heldUp || t.admitted <= c.heldUp { // it waited for this process
+		return false
+	}
 	if now-c.opened > 2*longWindow { // the process stood still, or nothing came: that was no load
 		c.open(now)
 		return false
@@ -169,8 +197,17 @@
 	c.opened, c.waits, c.n, c.done, c.refused = now, 0, 0, 0, false
 }
 
+// before is what is left at the end of a window of what was known at its beginning.
+func (c *capacity) before(now time.Duration) float64 {
+	if math.IsInf(c.estimate, 1) {
+		return 0
+	}
+	return c.estimate * math.Exp(-(now-c.opened).Seconds()/lullMemory.Seconds())
+}
+
 // judge ends a window.
 func (c *capacity) judge(now time.Duration) (empty bool) {
+	c.blind = -1
 	served := c.done / (now - c.opened).Seconds()
 	c.served.add(served, windowMemory)
 	waited := 0.0
@@ -185,8 +222,8 @@
 	case !c.tight && waited > much:
 		c.estimate = math.Max(math.Max(served, c.served.value), leastRate)
 		c.tighten()
-	case !c.tight && waited <= hardly:
-		c.estimate, empty = math.Max(math.Max(served, c.served.value), leastRate), true
+	case !c.tight && waited <= hardly: // at least what is answered, and what was: less may have been asked for since
+		c.estimate, empty = math.Max(math.Max(served, c.served.value), math.Max(c.before(now), leastRate)), true
 	case !c.tight:
 		c.estimate = math.Max(c.estimate, served)
 	case waited <= hardly && !queued:
