lab: results carry the time at which they were sent, of one clock

Callers saw TestManyProcessesBeforeColdEndpoints say at times that 1 of some 3,500 requests had no answer, and a request that a kill had cut off was told as one of a process that went on.

Cause: Federation.Ask noted when clients began, each Load.Run began a clock of its own when it came to run, and Tally added the two. Between them lay as long as the scheduler took. A request seemed to have ended by so much before the kill that ended it. bench/moves took the window that it sums up from such a pair of clocks too; bench/shares and the lab's report took it from their own, and bench/overload counted what was asked after a warm-up since the load began, over a time that had begun before the process was ready.

Now Result.At is a time.Time with its monotonic reading, Load.Between takes times, and the federation compares them with the times at which it killed or stopped a process. No origin is left to be added.

--- a/bench/moves/loopback.go
+++ b/bench/moves/loopback.go
@@ -152,7 +152,6 @@
 		{Team: "b", Method: "POST", Path: "/status-report", Kind: "status-report", Keyed: true, Give: 3 * time.Second, Wanted: 400 * time.Millisecond, Rate: func(time.Duration) float64 { return 0.27 * *rate }},
 	}
 	var running sync.WaitGroup
-	start := time.Now()
 	for i, l := range loads {
 		running.Go(func() { l.Run(ctx, s.Addr(), uint64(i)) })
 	}
@@ -196,7 +195,7 @@
 	cancel()
 	running.Wait()
 	for _, l := range loads {
-		sum := l.Between(begun.Sub(start), time.Hour) // a sidecar that has just started meets its load with servers it does not know
+		sum := l.Between(begun, time.Now()) // a sidecar that has just started meets its load with servers it does not know
 		p.asked += sum.Asked
 		p.harmed += sum.Asked - sum.InTime
 		p.refused += sum.Refused
--- a/bench/overload/main.go
+++ b/bench/overload/main.go
@@ -26,12 +26,13 @@
 )
 
 const (
-	aim      = 100 * time.Millisecond
-	deadline = 400 * time.Millisecond
-	give     = 500 * time.Millisecond
-	workers  = 2000 // of each endpoint: they are never what is short
-	drives   = 4    // loads of each class, each with connections of its own
-	warmUp   = time.Second
+	aim         = 100 * time.Millisecond
+	deadline    = 400 * time.Millisecond
+	give        = 500 * time.Millisecond
+	workers     = 2000 // of each endpoint: they are never what is short
+	drives      = 4    // loads of each class, each with connections of its own
+	warmUp      = time.Second
+	readyWithin = 10 * time.Second
 )
 
 // class is what is asked for, and what an answer in time is worth.
@@ -99,13 +100,16 @@
 		return err
 	}
 	defer p.Stop(5 * time.Second)
-	ctx, cancel := context.WithTimeout(context.Background(), warmUp+c.lasts)
+	starting, cancel := context.WithTimeout(context.Background(), readyWithin)
 	defer cancel()
-	if _, err := p.Ready(ctx); err != nil {
+	if _, err := p.Ready(starting); err != nil {
 		return err
 	}
+	counted := time.Now().Add(warmUp)
+	ctx, stop := context.WithDeadline(context.Background(), counted.Add(c.lasts))
+	defer stop()
 	loads := drive(ctx, listen, c)
-	tell(w, c, loads, p)
+	tell(w, c, loads, counted, p)
 	return nil
 }
 
@@ -154,7 +158,8 @@
 	return loads
 }
 
-func tell(w *tabwriter.Writer, c config, loads [][]*lab.Load, p *process.Process) {
+// tell tells of what was asked from a time on.
+func tell(w *tabwriter.Writer, c config, loads [][]*lab.Load, from time.Time, p *process.Process) {
 	type counts struct{ all, inTime, late, refused, failed int }
 	by := make([]counts, len(classes))
 	worth, offered := 0.0, 0.0
@@ -162,7 +167,7 @@
 		n := &by[i]
 		for _, l := range loads[i] {
 			for _, r := range l.Results() {
-				if r.At < warmUp {
+				if r.At.Before(from) {
 					continue
 				}
 				n.all++
--- a/bench/shares/main.go
+++ b/bench/shares/main.go
@@ -128,7 +128,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), length)
+	begun := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(length))
 	defer cancel()
 	var running sync.WaitGroup
 	var loads []*lab.Load
@@ -139,7 +140,6 @@
 		running.Go(func() { l.Run(ctx, s.Addr(), uint64(i+1)) })
 	}
 	if c.event != nil {
-		begun := time.Now()
 		running.Go(func() {
 			c.event(s, func(part float64) <-chan time.Time {
 				return time.After(time.Until(begun.Add(time.Duration(part * float64(length)))))
@@ -148,22 +148,23 @@
 	}
 	running.Wait()
 	c.teams = teams
-	print(c, on, loads, length)
+	print(c, on, loads, begun, length)
 	return s.Close()
 }
 
-func print(c course, on bool, loads []*lab.Load, length time.Duration) {
+func print(c course, on bool, loads []*lab.Load, begun time.Time, length time.Duration) {
+	from, to := begun.Add(warmUp), begun.Add(length)
 	fmt.Printf("broker %-4s asked  in time  late  refused  other    p50    p99  refusal p50   owed   got  off at worst over 2 s\n", map[bool]string{true: "on", false: "off"}[on])
 	var all time.Duration
 	for _, l := range loads {
-		all += l.Between(warmUp, length).Work
+		all += l.Between(from, to).Work
 	}
 	for i, l := range loads {
-		s := l.Between(warmUp, length)
+		s := l.Between(from, to)
 		ms := func(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()*1e3) }
 		off := "-" // it asks for less than it is owed
 		if c.teams[i].asks(0) >= 1 && c.steady() {
-			off = fmt.Sprintf("%+.1f points", 100*worst(loads, i, c.teams[i].share, length))
+			off = fmt.Sprintf("%+.1f points", 100*worst(loads, i, c.teams[i].share, from, to))
 		}
 		fmt.Printf("%-10s %6d  %6.1f%% %5d  %7d  %5d  %5s  %5s  %11s  %4.1f%% %4.1f%%  %s\n", s.Team, s.Asked, 100*float64(s.InTime)/float64(max(s.Asked, 1)),
 			s.Late, s.Refused, s.Other, ms(s.P50), ms(s.P99), ms(s.RefusedP50), 100*c.teams[i].share, 100*s.Work.Seconds()/all.Seconds(), off)
@@ -184,13 +185,13 @@
 
 // worst is how far a team's part of the work was off its share in the 2 s in
 // which it was so most.
-func worst(loads []*lab.Load, i int, share float64, length time.Duration) (worst float64) {
-	for at := warmUp; at+2*time.Second <= length; at += 500 * time.Millisecond {
+func worst(loads []*lab.Load, i int, share float64, from, to time.Time) (worst float64) {
+	for at := from; !at.Add(2 * time.Second).After(to); at = at.Add(500 * time.Millisecond) {
 		var all time.Duration
 		for _, l := range loads {
-			all += l.Between(at, at+2*time.Second).Work
+			all += l.Between(at, at.Add(2*time.Second)).Work
 		}
-		if off := loads[i].Between(at, at+2*time.Second).Work.Seconds()/math.Max(all.Seconds(), 1e-9) - share; math.Abs(off) > math.Abs(worst) {
+		if off := loads[i].Between(at, at.Add(2*time.Second)).Work.Seconds()/math.Max(all.Seconds(), 1e-9) - share; math.Abs(off) > math.Abs(worst) {
 			worst = off
 		}
 	}
--- a/cmd/spokegw/lab.go
+++ b/cmd/spokegw/lab.go
@@ -277,6 +277,7 @@
 // report prints a line for each team each second.
 func report(ctx context.Context, out io.Writer, loads []*lab.Load) {
 	const heading = "second  team      asked  in time  late  refused  other  p50 ms  p99 ms"
+	begun := time.Now()
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for second := 0; ; second++ {
@@ -292,7 +293,7 @@
 			fmt.Fprintln(out, heading)
 		}
 		for _, l := range loads {
-			s := l.Between(time.Duration(second-1)*time.Second, time.Duration(second)*time.Second)
+			s := l.Between(begun.Add(time.Duration(second-1)*time.Second), begun.Add(time.Duration(second)*time.Second))
 			fmt.Fprintf(out, "%6d  %-8s %6d %8d %5d %8d %6d  %6.1f  %6.1f\n", second, s.Team, s.Asked, s.InTime, s.Late, s.Refused, s.Other,
 				s.P50.Seconds()*1e3, s.P99.Seconds()*1e3)
 		}
--- a/internal/lab/federation/client.go
+++ b/internal/lab/federation/client.go
@@ -17,7 +17,6 @@
 // returns when the last answer is there, and is to be called once.
 func (f *Federation) Ask(ctx context.Context) {
 	var clients sync.WaitGroup
-	f.asked = time.Since(f.begun)
 	for _, g := range f.Gateways {
 		clients.Go(func() { g.load.Run(ctx, g.listen, f.Seed+uint64(g.Number)) })
 	}
@@ -59,12 +58,12 @@
 	for _, g := range f.Gateways {
 		for _, r := range g.load.Results() {
 			t.Asked++
-			switch from := f.asked + r.At; {
+			switch {
 			case r.Status == http.StatusOK:
 				t.Served++
 			case r.Status == http.StatusTooManyRequests:
 				t.OverQuota++
-			case g.wasDown(from, from+r.Took):
+			case g.wasDown(r.At, r.At.Add(r.Took)):
 				t.Lost++
 			case r.Unconnected:
 				t.Unconnected++
@@ -92,8 +91,7 @@
 func (f *Federation) Between(from, to time.Time) (s Span) {
 	for _, g := range f.Gateways {
 		for _, r := range g.load.Results() {
-			at := f.asked + r.At
-			if at < from.Sub(f.begun) || at > to.Sub(f.begun) || g.wasDown(at, at+r.Took) {
+			if r.At.Before(from) || r.At.After(to) || g.wasDown(r.At, r.At.Add(r.Took)) {
 				continue
 			}
 			s.Asked++
@@ -115,11 +113,10 @@
 	counts := map[string]int{}
 	for _, g := range f.Gateways {
 		for _, r := range g.load.Results() {
-			from := f.asked + r.At
-			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || r.Unconnected || g.wasDown(from, from+r.Took) {
+			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || r.Unconnected || g.wasDown(r.At, r.At.Add(r.Took)) {
 				continue
 			}
-			counts[fmt.Sprintf("%5.1fs %s %d %s", from.Round(500*time.Millisecond).Seconds(), g.Name, r.Status, r.Took.Round(200*time.Millisecond))]++
+			counts[fmt.Sprintf("%5.1fs %s %d %s", r.At.Sub(f.begun).Round(500*time.Millisecond).Seconds(), g.Name, r.Status, r.Took.Round(200*time.Millisecond))]++
 		}
 	}
 	lines := slices.Sorted(maps.Keys(counts))
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -45,7 +45,6 @@
 	links    [][]*links.Link // from, to
 	registry *lab.Registry
 	begun    time.Time
-	asked    time.Duration // when clients began
 
 	mu        sync.Mutex
 	ran       []time.Duration // requests at the endpoints, since begun
--- a/internal/lab/federation/gateway.go
+++ b/internal/lab/federation/gateway.go
@@ -39,8 +39,8 @@
 	demand atomic.Int64 // requests a second that clients ask for
 }
 
-// span is a time since the federation began; an end of 0: it lasts.
-type span struct{ from, to time.Duration }
+// span is a time; a zero end: it lasts.
+type span struct{ from, to time.Time }
 
 // freeAddr is a free address of the gateway's host that is not to be another one of its
 // addresses, which nobody has while its process is down.
@@ -136,8 +136,8 @@
 func (g *Gateway) setDown(down bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, last := time.Since(g.of.begun), len(g.down)-1
-	if lasts := last >= 0 && g.down[last].to == 0; down && !lasts {
+	now, last := time.Now(), len(g.down)-1
+	if lasts := last >= 0 && g.down[last].to.IsZero(); down && !lasts {
 		g.down = append(g.down, span{from: now})
 	} else if !down && lasts {
 		g.down[last].to = now
@@ -145,10 +145,10 @@
 }
 
 // wasDown reports whether it was killed or stood still at some moment of a time.
-func (g *Gateway) wasDown(from, to time.Duration) bool {
+func (g *Gateway) wasDown(from, to time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.down, func(d span) bool { return d.from <= to && (d.to == 0 || from <= d.to) })
+	return slices.ContainsFunc(g.down, func(d span) bool { return !d.from.After(to) && (d.to.IsZero() || !from.After(d.to)) })
 }
 
 // Process is the gateway's, as it was started last.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -40,7 +40,7 @@
 
 // Result is what became of one request.
 type Result struct {
-	At      time.Duration // when it was sent, since the start
+	At      time.Time // when it was sent
 	Took    time.Duration
 	Status  int // 0: no answer
 	RetryIn string
@@ -85,14 +85,13 @@
 		select {
 		case places <- struct{}{}:
 		default:
-			l.add(Result{At: time.Since(start), Cost: l.Cost})
+			l.add(Result{At: time.Now(), Cost: l.Cost})
 			continue
 		}
 		open.Add(1)
 		go func() {
 			defer open.Done()
-			r := l.ask(client, addr, time.Since(start))
-			l.add(r)
+			l.add(l.ask(client, addr))
 			<-places
 		}()
 	}
@@ -149,19 +148,18 @@
 	return r
 }
 
-func (l *Load) ask(client *http.Client, addr string, at time.Duration) Result {
+func (l *Load) ask(client *http.Client, addr string) Result {
 	ctx, cancel := context.WithTimeout(context.Background(), l.Give+50*time.Millisecond)
 	defer cancel()
-	r := Result{At: at, Cost: l.Cost}
 	req := l.Request(ctx, addr)
-	begun := time.Now()
+	r := Result{At: time.Now(), Cost: l.Cost}
 	resp, err := client.Do(req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
 		r.RetryIn = resp.Header.Get("Retry-After")
 	}
-	r.Took = time.Since(begun)
+	r.Took = time.Since(r.At)
 	r.Unconnected = errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil {
 		r.Status = resp.StatusCode
@@ -178,14 +176,14 @@
 	Work                                time.Duration // of what was served, as hinted
 }
 
-// Between sums up the requests sent in a span of time since the start.
-func (l *Load) Between(from, to time.Duration) Summary {
+// Between sums up the requests sent from one time on and before another.
+func (l *Load) Between(from, to time.Time) Summary {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := Summary{Team: l.Team}
 	var served, refused []time.Duration
 	for _, r := range l.stats {
-		if r.At < from || r.At >= to {
+		if r.At.Before(from) || !r.At.Before(to) {
 			continue
 		}
 		s.Asked++
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -79,7 +79,7 @@
 		cancel()
 		running.Wait()
 		for _, l := range loads {
-			sum := l.Between(0, time.Hour)
+			sum := l.Between(time.Time{}, time.Now())
 			asked += sum.Asked
 			harmed += sum.Asked - sum.InTime
 		}
