lab: results tell how a request ended and by which connections it went

What judges a load knew of a request without an answer only whether its connection was refused.

Results now have the ending (broken, not connected, timed out, not sent) and, where a load is traced, when each connection that the request was given to was made. How long clients look on after a request's time is a setting. Nothing else uses it yet.

--- a/internal/lab/federation/client.go
+++ b/internal/lab/federation/client.go
@@ -65,7 +65,7 @@
 				t.OverQuota++
 			case g.wasDown(r.At, r.At.Add(r.Took)):
 				t.Lost++
-			case r.Unconnected:
+			case r.Ending == lab.Unconnected:
 				t.Unconnected++
 			case r.Status != 0:
 				t.Other++
@@ -113,7 +113,7 @@
 	counts := map[string]int{}
 	for _, g := range f.Gateways {
 		for _, r := range g.load.Results() {
-			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || r.Unconnected || g.wasDown(r.At, r.At.Add(r.Took)) {
+			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || r.Ending == lab.Unconnected || g.wasDown(r.At, r.At.Add(r.Took)) {
 				continue
 			}
 			counts[fmt.Sprintf("%5.1fs %s %d %s", r.At.Sub(f.begun).Round(500*time.Millisecond).Seconds(), g.Name, r.Status, r.Took.Round(200*time.Millisecond))]++
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -3,16 +3,15 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -27,9 +26,11 @@
 	Cost    time.Duration                     // hinted; 0: none
 	Wanted  time.Duration                     // an answer up to here is in time
 	Give    time.Duration                     // the client gives up after this
+	Wait    time.Duration                     // and still looks so long whether an answer comes; 0: 50 ms
 	Keyed   bool
 	Headers http.Header // more of them, or others
 	Idle    int         // connections that may rest; 0: 64
+	Traced  bool        // results tell of the sends
 
 	mu    sync.Mutex
 	stats []Result // the latest, keepResults at most and half of it at least
@@ -38,21 +39,61 @@
 // keepResults bounds what a load remembers.
 const keepResults = 1 << 19
 
+// Ending is how a request ended.
+type Ending int
+
+// The endings. Unsent: too many were open. Unconnected: nobody took the connection that it
+// was to go by. Broken: the connection ended before the answer was whole. TimedOut: the client
+// gave up.
+const (
+	Answered Ending = iota
+	Unsent
+	Unconnected
+	Broken
+	TimedOut
+	Spoilt // whatever came was no answer
+)
+
+func (e Ending) String() string {
+	return [...]string{"answered", "not sent", "not connected", "broken", "timed out", "spoilt"}[e]
+}
+
+// Connection is one that a client has made to a sidecar.
+type Connection struct {
+	Begun time.Time // when the client began to connect
+	Made  time.Time // when it was connected
+}
+
+// Send is one time that a request was given to a connection.
+type Send struct {
+	Connection
+	At time.Time
+}
+
 // Result is what became of one request.
 type Result struct {
+	ID      string
 	At      time.Time // when it was sent
 	Took    time.Duration
 	Status  int // 0: no answer
+	Ending  Ending
 	RetryIn string
 	Cost    time.Duration
-
-	Unconnected bool // nobody took the connection that it was to go by
+	// Sends are those that got a connection, where the load is traced. There is more than one where a kept connection ended with
+	// no answer: the client library then sends the request again by itself.
+	Sends []Send
 }
 
+// End is when the client had the answer, or knew that there was none.
+func (r *Result) End() time.Time { return r.At.Add(r.Took) }
+
 // Refused reports whether the request was turned away with the promise that a
 // retry is harmless.
 func (r Result) Refused() bool { return r.Status == 429 || r.Status == 503 }
 
+// usualWait is how long after its time a client still looks for an answer.
+const usualWait = 50 * time.Millisecond
+
 // maxOpen bounds the requests of a load that are open at once; beyond it none
 // are sent, and those are told as without an answer.
 const maxOpen = 4096
@@ -63,7 +104,7 @@
 // is open.
 func (l *Load) Run(ctx context.Context, addr string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(l.Team))))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmp.Or(l.Idle, 64), MaxConnsPerHost: 0, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmp.Or(l.Idle, 64), MaxConnsPerHost: 0, DisableCompression: true, DialContext: dial}}
 	defer client.CloseIdleConnections()
 	start := time.Now()
 	var open sync.WaitGroup
@@ -85,7 +126,7 @@
 		select {
 		case places <- struct{}{}:
 		default:
-			l.add(Result{At: time.Now(), Cost: l.Cost})
+			l.add(Result{At: time.Now(), Ending: Unsent, Cost: l.Cost})
 			continue
 		}
 		open.Add(1)
@@ -149,10 +190,14 @@
 }
 
 func (l *Load) ask(client *http.Client, addr string) Result {
-	ctx, cancel := context.WithTimeout(context.Background(), l.Give+50*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), l.Give+cmp.Or(l.Wait, usualWait))
 	defer cancel()
 	req := l.Request(ctx, addr)
-	r := Result{At: time.Now(), Cost: l.Cost}
+	r := Result{ID: req.Header.Get("Req-Id"), At: time.Now(), Cost: l.Cost}
+	var sends sends
+	if l.Traced {
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sends.got}))
+	}
 	resp, err := client.Do(req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
@@ -160,7 +205,7 @@
 		r.RetryIn = resp.Header.Get("Retry-After")
 	}
 	r.Took = time.Since(r.At)
-	r.Unconnected = errors.Is(err, syscall.ECONNREFUSED)
+	r.Ending, r.Sends = ending(err), sends.taken()
 	if err == nil {
 		r.Status = resp.StatusCode
 	}
--- /dev/null
+++ b/internal/lab/send.go
@@ -0,0 +1,70 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http/httptrace"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// dialed is a connection that knows when it was made.
+type dialed struct {
+	net.Conn
+	made Connection
+}
+
+// dial makes a connection that knows when it was made.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	begun := time.Now()
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &dialed{c, Connection{Begun: begun, Made: time.Now()}}, nil
+}
+
+// sends notes the connections that a request is given to.
+type sends struct {
+	mu  sync.Mutex
+	all []Send
+}
+
+func (s *sends) got(info httptrace.GotConnInfo) {
+	at := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, Send{info.Conn.(*dialed).made, at})
+}
+
+func (s *sends) taken() []Send {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all
+}
+
+// closedIdle is the text of an error that package http has no name for: the other side closed a
+// connection on which it had not answered.
+const closedIdle = "server closed idle connection"
+
+// ending is the one that an error of a client tells of.
+func ending(err error) Ending {
+	switch {
+	case err == nil:
+		return Answered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Unconnected
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		return TimedOut
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
+		strings.Contains(err.Error(), closedIdle):
+		return Broken
+	}
+	return Spoilt
+}
