lab/federation: a kill excuses what it cut off, and nothing else

Callers of Tally had any request excused that overlapped the time from a kill to the next process's readiness by an instant, whatever became of it; all that was refused, by whatever process; and any answer of a process that had stood still. A request whose connection a sidecar dropped on a kept connection was not seen at all: net/http sent it again.

Now judge, which is pure, tells what a request counts as. Cut off is one whose connection was made to the process that was killed and that ended no earlier than the signal; refused may be one only while nobody has to listen, after SIGTERM from 350 ms on; one that was sent on and then closed on is lost, whatever the client library did next; a standstill excuses requests whose time was over in it, and no ended connection. Clients look on for 2 s, and an answer more than 0.55 s late fails, but for what this process itself was held up. A process that ended by itself is told.

No check is weaker: fields of Tally mean less than before, and check reads them as it did, and Crashed besides.

--- a/cmd/spokegw/fleet_test.go
+++ b/cmd/spokegw/fleet_test.go
@@ -84,7 +84,7 @@
 }
 
 // check ends the clients: in no span was more let out than the quota, nothing ran twice,
-// and each request has its answer but where its process was killed or stood still.
+// no process ended by itself, and each request has its answer but where it was cut off.
 func (g *gathering) check() {
 	g.t.Helper()
 	g.stop()
@@ -96,6 +96,9 @@
 	if n := g.Repeated(); n > 0 {
 		g.t.Errorf("%d keys ran twice", n)
 	}
+	if tally.Crashed > 0 {
+		g.t.Errorf("%d processes ended by themselves", tally.Crashed)
+	}
 	if tally.Failed > 0 || tally.Other > tally.Asked/100 {
 		g.t.Errorf("%d of %d had no answer, %d an unexpected one", tally.Failed, tally.Asked, tally.Other)
 		g.t.Log(g.Unexpected())
--- a/internal/lab/federation/client.go
+++ b/internal/lab/federation/client.go
@@ -16,23 +16,31 @@
 // Ask has clients ask each gateway at its rate, whatever it answers, until ctx ends. It
 // returns when the last answer is there, and is to be called once.
 func (f *Federation) Ask(ctx context.Context) {
-	var clients sync.WaitGroup
+	var clients, holding sync.WaitGroup
+	looking, stop := context.WithCancel(context.Background()) // until the last answer is there
+	defer stop()
+	holding.Go(func() { f.hold.look(looking) })
 	for _, g := range f.Gateways {
 		clients.Go(func() { g.load.Run(ctx, g.listen, f.Seed+uint64(g.Number)) })
 	}
 	clients.Wait()
+	stop()
+	holding.Wait()
 }
 
 // aim and deadline are those of a request.
 const (
 	aim      = 2 * time.Second
 	deadline = 5 * time.Second
+	// looksOn is how long after that clients still look for an answer: longer than it may come late,
+	// and than this process may be held up meanwhile.
+	looksOn = 2 * time.Second
 )
 
 // newLoad is what clients ask a gateway for.
 func (g *Gateway) newLoad() *lab.Load {
 	return &lab.Load{
-		Team: Team, Method: http.MethodPost, Path: "/status-report?user=k", Kind: "status-report", Keyed: true, Give: deadline,
+		Team: Team, Method: http.MethodPost, Path: "/status-report?user=k", Kind: "status-report", Keyed: true, Give: deadline, Wait: looksOn, Traced: true,
 		Rate: func(time.Duration) float64 { return float64(g.demand.Load()) },
 	}
 }
@@ -48,36 +56,56 @@
 // Ask sets the requests a second that clients ask this gateway for.
 func (g *Gateway) Ask(demand float64) { g.demand.Store(int64(demand)) }
 
-// Tally is what clients had of all gateways: Failed had no answer of a process that went
-// on, Other one that is neither, Lost none or such a one of a process that was killed or stood
-// still meanwhile, Unconnected came to one that takes no more, as it ends.
-type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost, Unconnected int }
+// Tally is what clients had of all gateways: Other had an answer that is neither, Lost none as
+// its process was killed or stood still, Unconnected none as nobody had to take its connection, and
+// Failed none for no such reason. Crashed are processes that ended by themselves.
+type Tally struct{ Asked, Served, OverQuota, Other, Failed, Lost, Unconnected, Crashed int }
 
-// Tally counts what has ended.
-func (f *Federation) Tally() (t Tally) {
+// judged calls do with each request that has ended, and what it counts as.
+func (f *Federation) judged(do func(g *Gateway, r *lab.Result, v verdict)) {
 	for _, g := range f.Gateways {
+		seen := evidence{done: g.disturbances(), reached: f.reached, heldUp: f.hold.within}
 		for _, r := range g.load.Results() {
-			t.Asked++
-			switch {
-			case r.Status == http.StatusOK:
-				t.Served++
-			case r.Status == http.StatusTooManyRequests:
-				t.OverQuota++
-			case g.wasDown(r.At, r.At.Add(r.Took)):
-				t.Lost++
-			case r.Ending == lab.Unconnected:
-				t.Unconnected++
-			case r.Status != 0:
-				t.Other++
-			default:
-				t.Failed++
-			}
+			do(g, &r, seen.judge(&r))
 		}
 	}
+}
+
+// reached reports whether a request had come to an endpoint by a time.
+func (f *Federation) reached(id string, by time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first, came := f.keys[id] // a load's keys are its requests' ids
+	return came && first.at <= by.Sub(f.begun)
+}
+
+// Tally counts what has ended.
+func (f *Federation) Tally() (t Tally) {
+	for _, g := range f.Gateways {
+		t.Crashed += g.crashed()
+	}
+	f.judged(func(_ *Gateway, _ *lab.Result, v verdict) {
+		t.Asked++
+		switch v {
+		case served:
+			t.Served++
+		case overQuota:
+			t.OverQuota++
+		case other:
+			t.Other++
+		case failed:
+			t.Failed++
+		case lost:
+			t.Lost++
+		case notConnected:
+			t.Unconnected++
+		}
+	})
 	return t
 }
 
-// Span is what became of what clients asked in a time, of processes that went on.
+// Span is what became of what clients asked in a time, but for what was cut off or came to nobody
+// as processes were killed or stood still.
 type Span struct{ Asked, InTime, Refused, Failed int }
 
 // String has the parts in percent.
@@ -89,36 +117,34 @@
 // Between is what became of what was asked from one time to another and has ended. Over the
 // quota counts as refused.
 func (f *Federation) Between(from, to time.Time) (s Span) {
-	for _, g := range f.Gateways {
-		for _, r := range g.load.Results() {
-			if r.At.Before(from) || r.At.After(to) || g.wasDown(r.At, r.At.Add(r.Took)) {
-				continue
-			}
-			s.Asked++
-			switch {
-			case r.Status == http.StatusOK && r.Took <= aim:
-				s.InTime++
-			case r.Refused():
-				s.Refused++
-			case r.Status != http.StatusOK:
-				s.Failed++
-			}
+	f.judged(func(_ *Gateway, r *lab.Result, v verdict) {
+		if r.At.Before(from) || r.At.After(to) || v == lost || v == notConnected {
+			return
 		}
-	}
+		s.Asked++
+		switch {
+		case v == served && r.Took <= aim:
+			s.InTime++
+		case v != failed && r.Refused():
+			s.Refused++
+		case v != served:
+			s.Failed++
+		}
+	})
 	return s
 }
 
-// Unexpected tells what Tally counts as Other and Failed: how many by half second, gateway, status and time taken, 200 lines at most.
+// Unexpected tells what Tally counts as Other and Failed: how many by half second, gateway, status, how
+// it ended, sends and time taken, 200 lines at most.
 func (f *Federation) Unexpected() string {
 	counts := map[string]int{}
-	for _, g := range f.Gateways {
-		for _, r := range g.load.Results() {
-			if r.Status == http.StatusOK || r.Status == http.StatusTooManyRequests || r.Ending == lab.Unconnected || g.wasDown(r.At, r.At.Add(r.Took)) {
-				continue
-			}
-			counts[fmt.Sprintf("%5.1fs %s %d %s", r.At.Sub(f.begun).Round(500*time.Millisecond).Seconds(), g.Name, r.Status, r.Took.Round(200*time.Millisecond))]++
+	f.judged(func(g *Gateway, r *lab.Result, v verdict) {
+		if v != other && v != failed {
+			return
 		}
-	}
+		at := r.At.Sub(f.begun).Round(500 * time.Millisecond)
+		counts[fmt.Sprintf("%5.1fs %s %d %v, %d sends, %s", at.Seconds(), g.Name, r.Status, r.Ending, len(r.Sends), r.Took.Round(200*time.Millisecond))]++
+	})
 	lines := slices.Sorted(maps.Keys(counts))
 	for i, l := range lines {
 		lines[i] = fmt.Sprint(l, ": ", counts[l])
--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -45,6 +45,7 @@
 	links    [][]*links.Link // from, to
 	registry *lab.Registry
 	begun    time.Time
+	hold     holdUps
 
 	mu        sync.Mutex
 	ran       []time.Duration // requests at the endpoints, since begun
--- a/internal/lab/federation/federation_test.go
+++ b/internal/lab/federation/federation_test.go
@@ -92,20 +92,21 @@
 // counts as one of a process that was killed, all the same.
 func TestCutOffByAKillThoughClientsBeginLate(t *testing.T) {
 	f := &Federation{begun: time.Now(), keys: map[string]run{}}
-	killed := newSilentGateway(t, f)
+	g := newSilentGateway(t, f)
 	for range 10 { // the clients that are begun last run first; they ask for nothing
 		newSilentGateway(t, f)
 	}
-	killed.Ask(200)
+	g.Ask(200)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	restore := holdProcessor()
 	go func() {
 		defer stop()
-		<-killed.came
+		<-g.came
 		restore()
-		killed.setDown(true)
-		killed.dies()
+		g.disturb(killed)
+		g.dies()
+		g.hasEnded()
 	}()
 	f.Ask(ctx)
 	if tally := f.Tally(); tally.Failed > 0 || tally.Lost == 0 {
--- a/internal/lab/federation/gateway.go
+++ b/internal/lab/federation/gateway.go
@@ -34,14 +34,12 @@
 	load    *lab.Load
 	mu      sync.Mutex
 	process *process.Process
-	down    []span // while it was killed or stood still
+	done    []disturbance
+	crashes int // processes that ended by themselves, but for the one there is
 
 	demand atomic.Int64 // requests a second that clients ask for
 }
 
-// span is a time; a zero end: it lasts.
-type span struct{ from, to time.Time }
-
 // freeAddr is a free address of the gateway's host that is not to be another one of its
 // addresses, which nobody has while its process is down.
 func (g *Gateway) freeAddr() (string, error) {
@@ -128,27 +126,75 @@
 	if _, err := p.Ready(ctx); err != nil {
 		return fmt.Errorf("federation: %s: %w", g.Name, err)
 	}
-	g.setDown(false)
+	g.goesOn()
 	return nil
 }
 
-// setDown notes that the process is killed or stands still, or no longer.
-func (g *Gateway) setDown(down bool) {
+// disturb notes that something is about to be done to the process.
+func (g *Gateway) disturb(c cause) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.endedByItself() {
+		g.crashes++
+	}
+	now := time.Now()
+	g.lastsUntil(now)
+	g.done = append(g.done, disturbance{cause: c, from: now})
+}
+
+// hasEnded notes that the process has ended.
+func (g *Gateway) hasEnded() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.done[len(g.done)-1].ended = time.Now()
+}
+
+// goesOn notes that what was done to the process last is over.
+func (g *Gateway) goesOn() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastsUntil(time.Now())
+}
+
+// lastsUntil ends what was done last, if it lasts; g.mu is held.
+func (g *Gateway) lastsUntil(now time.Time) {
+	if n := len(g.done); n > 0 && g.done[n-1].until.IsZero() {
+		g.done[n-1].until = now
+	}
+}
+
+// endedByItself reports whether the process there is has ended, with nothing done to it that ends
+// one; g.mu is held.
+func (g *Gateway) endedByItself() bool {
+	if g.process == nil {
+		return false
+	}
+	if n := len(g.done); n > 0 && g.done[n-1].until.IsZero() && g.done[n-1].cause != stopped {
+		return false
+	}
+	select {
+	case <-g.process.Ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// crashed is how many processes have ended by themselves.
+func (g *Gateway) crashed() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, last := time.Now(), len(g.down)-1
-	if lasts := last >= 0 && g.down[last].to.IsZero(); down && !lasts {
-		g.down = append(g.down, span{from: now})
-	} else if !down && lasts {
-		g.down[last].to = now
+	if g.endedByItself() {
+		return g.crashes + 1
 	}
+	return g.crashes
 }
 
-// wasDown reports whether it was killed or stood still at some moment of a time.
-func (g *Gateway) wasDown(from, to time.Time) bool {
+// disturbances are what was done to the process so far, in order.
+func (g *Gateway) disturbances() []disturbance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.down, func(d span) bool { return !d.from.After(to) && (d.to.IsZero() || !from.After(d.to)) })
+	return slices.Clone(g.done)
 }
 
 // Process is the gateway's, as it was started last.
@@ -160,19 +206,21 @@
 
 // Kill kills the process, and waits until it has ended.
 func (g *Gateway) Kill() {
-	g.setDown(true)
+	g.disturb(killed)
 	p := g.Process()
 	p.Kill()
 	<-p.Ended
+	g.hasEnded()
 }
 
 // Restart has the process end as planned, with SIGTERM, and starts another. Requests that it
 // had taken when it was told count as any other's.
 func (g *Gateway) Restart() error {
+	g.disturb(told)
 	p := g.Process()
 	p.Signal(syscall.SIGTERM)
 	<-p.Ended
-	g.setDown(true)
+	g.hasEnded()
 	return g.Start()
 }
 
@@ -200,14 +248,14 @@
 
 // Pause has the process stand still.
 func (g *Gateway) Pause() {
-	g.setDown(true)
+	g.disturb(stopped)
 	g.Process().Signal(syscall.SIGSTOP)
 }
 
 // GoOn has it go on.
 func (g *Gateway) GoOn() {
 	g.Process().Signal(syscall.SIGCONT)
-	g.setDown(false)
+	g.goesOn()
 }
 
 // Fleet is the address at which the gateway hears the others.
