lab/process: what is done to a process is noted in one place

The federation's judge knew what a kill and a planned end excuse; the trial has the same questions and answers of its own. What was done, and what that cuts off, moves to package process, and the hold-ups of this process to lab, so that both judge by the same.

--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -45,7 +45,7 @@
 	links    [][]*links.Link // from, to
 	registry *lab.Registry
 	begun    time.Time
-	hold     holdUps
+	hold     lab.HoldUps
 
 	mu        sync.Mutex
 	ran       []time.Duration // requests at the endpoints, since begun
