lab/hardware: one endpoint that is gone excuses no lost site

The judge of schedules let a site be given up for 45 s after any of its four endpoints was found dead, as by a fall of a cold one. By design a site is given up where next to all of it is dead, so the excuse was as wide as four of them. Now it holds where no endpoint of the site is there.

--- a/internal/lab/hardware/hardware_test.go
+++ b/internal/lab/hardware/hardware_test.go
@@ -71,6 +71,19 @@
 	return nil
 }
 
+// noteGone notes which sites have no endpoint that is there.
+func (c *course) noteGone() {
+	there := map[string]bool{}
+	for _, s := range c.Servers {
+		there[s.Site] = there[s.Site] || !s.dead
+	}
+	for site, any := range there {
+		if !any {
+			c.gone[site] = c.Now
+		}
+	}
+}
+
 // run plays on, and looks all the time.
 func (c *course) run(lasts time.Duration) error {
 	for end := c.Now + lasts; c.Now < end; {
@@ -96,11 +109,7 @@
 			return err
 		}
 		f.Do(c.World)
-		for _, s := range c.Servers {
-			if s.dead {
-				c.gone[s.Site] = c.Now // it is lost still, or a cold one fell
-			}
-		}
+		c.noteGone()
 	}
 	c.Drop, c.Duplicate, c.Cut = 0, 0, map[[2]int]bool{}
 	c.Delay = func() time.Duration { return time.Millisecond }
