lab/trial: excused is what was cut off, and each excuse has its time

What the trial passed over without ground: any error of a request that was open when its sidecar was killed or not yet ready again, also one that the next process made; each refused connection; a process that had ended by itself and was killed then; a send to a draining endpoint while discovery was down, though the drain had been written to the sidecar before. Two excuses ended too early: that for a planned end with the next process's readiness, and that for a crowd with the first of two crowds on one sidecar.

Now a connection is known by when it was made. A kill excuses those made to the process that it ended, from the signal on; a planned end those made from 350 ms after SIGTERM on, where nothing was sent on; a refusal or a connection that never comes up is a loss but while nobody has to listen or a crowd is there. A violation tells whether it is by a time within which this process was held up.

--- a/internal/lab/trial/client.go
+++ b/internal/lab/trial/client.go
@@ -43,8 +43,11 @@
 	name    string
 	n       int
 	conn    net.Conn
+	begun   time.Time // when that was begun to be made
+	made    time.Time // when it was made
 	reader  *bufio.Reader
 	used    bool // the connection has carried a request
+	told    bool // that no connection is taken, since the latest one
 }
 
 const (
@@ -83,7 +86,6 @@
 	}
 	c.n++
 	id, k := fmt.Sprintf("%s-%d", c.name, c.n), classes[class]
-	start := side.generation.Load()
 	s := &sent{sidecar: c.sidecar, class: class, at: time.Now(), deadline: k.deadline}
 	c.play.judge.begins(id, s)
 	c.play.asked.Add(1)
@@ -102,23 +104,21 @@
 		c.drop()
 	}
 	took := time.Since(s.at)
-	if err == nil && took > k.deadline+answerSlack+c.play.judge.observer.slack() {
-		c.play.judge.breaks(Lost, "%s: answered after %v, %v of them its own", id, took.Round(time.Millisecond), k.deadline)
+	if err == nil && took > k.deadline+answerSlack+c.play.judge.slack() {
+		c.play.judge.breaks(Lost, c.play.judge.lateSince(s.at), "%s: answered after %v, %v of them its own", id, took.Round(time.Millisecond), k.deadline)
 	}
 	if err == nil {
 		c.judged(id, status, body)
 		return
 	}
-	if side.generation.Load() != start || side.killed.Load() {
-		return // it was killed: its client sends again
-	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.play.judge.breaks(Lost, "%s: no answer in %v, %v of them its own", id, time.Since(s.at).Round(time.Millisecond), k.deadline)
+		c.play.judge.breaks(Lost, c.play.judge.lateSince(s.at), "%s: no answer in %v, %v of them its own", id, time.Since(s.at).Round(time.Millisecond), k.deadline)
+	case side.done.Cut(c.begun, s.at.Add(took)): // its process was killed: its client sends again
 	case c.play.judge.reached(id):
-		c.play.judge.breaks(Lost, "%s: closed without an answer after it was sent on: %v", id, err)
-	case !reused && !side.closesNew(s.at) && !side.crowded.Load():
-		c.play.judge.breaks(Lost, "%s: a new connection was closed without an answer: %v", id, err)
+		c.play.judge.breaks(Lost, sure, "%s: closed without an answer after it was sent on: %v", id, err)
+	case !reused && !side.done.MayShut(c.begun, c.made) && side.crowds.Load() == 0:
+		c.play.judge.breaks(Lost, sure, "%s: a new connection was closed without an answer: %v", id, err)
 	case tries > 1:
 		c.ask(class, tries-1)
 	}
@@ -127,7 +127,7 @@
 func (c *client) judged(id string, status int, body string) {
 	switch {
 	case status == http.StatusOK && body != answerTo(id):
-		c.play.judge.breaks(Lost, "%s: the answer is another's: %.60q", id, body)
+		c.play.judge.breaks(Lost, sure, "%s: the answer is another's: %.60q", id, body)
 	case status == http.StatusOK:
 		c.play.served.Add(1)
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
@@ -141,11 +141,17 @@
 	if c.conn != nil {
 		return true
 	}
+	begun := time.Now()
 	conn, err := net.DialTimeout("tcp", side.listen, dialWithin)
+	made := time.Now()
 	if err != nil {
-		return false // it is being restarted
+		if !c.told && !side.done.ClosedDoor(begun, made) && side.crowds.Load() == 0 {
+			c.told = true
+			c.play.judge.breaks(Lost, sure, "%s: a connection is not taken, though the process is to serve: %v", side.name, err)
+		}
+		return false
 	}
-	c.conn, c.reader, c.used = conn, bufio.NewReader(conn), false
+	c.conn, c.reader, c.used, c.told, c.begun, c.made = conn, bufio.NewReader(conn), false, false, begun, made
 	return true
 }
 
--- a/internal/lab/trial/faults.go
+++ b/internal/lab/trial/faults.go
@@ -227,7 +227,8 @@
 		return
 	}
 	s := p.sidecars[rng.IntN(len(p.sidecars))]
-	s.crowded.Store(true)
+	s.crowds.Add(1)
+	defer s.crowds.Add(-1)
 	var idle []net.Conn
 	for range 200 {
 		if c, err := net.DialTimeout("tcp", s.listen, 200*time.Millisecond); err == nil {
@@ -239,5 +240,4 @@
 		c.Close()
 	}
 	wait(ctx, 500*time.Millisecond)
-	s.crowded.Store(false)
 }
--- a/internal/lab/trial/judge.go
+++ b/internal/lab/trial/judge.go
@@ -6,6 +6,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"spokegw/internal/lab"
+	"spokegw/internal/permit"
 )
 
 // Rule is one that an outside observer can see broken.
@@ -27,6 +30,9 @@
 type Violation struct {
 	Rule Rule
 	What string
+	// HeldUp: it is by a time that was exceeded, and within that this process was held up for longer than
+	// a sidecar may be. It tells nothing of the sidecar.
+	HeldUp bool
 }
 
 const (
@@ -34,6 +40,13 @@
 	deadlineSlack = 150 * time.Millisecond
 	answerSlack   = 500 * time.Millisecond
 	ruleSlack     = 50 * time.Millisecond
+	// seenLate is what is seen late on an idle machine.
+	seenLate = 50 * time.Millisecond
+	// besides is how much later than this process a sidecar may run, each of which has one
+	// thread or two where this has many.
+	besides = 2
+	// spans is how long what is judged lasts at most.
+	spans = 4 * time.Second
 )
 
 // sent is a request as its client sent it.
@@ -53,8 +66,8 @@
 
 // judge sees what clients and endpoints see.
 type judge struct {
-	config   Config
-	observer observer
+	config Config
+	hold   lab.HoldUps
 
 	mu       sync.Mutex
 	requests map[string]*sent
@@ -96,10 +109,42 @@
 	return &judge{config: c, requests: map[string]*sent{}, arrivals: map[string][]arrival{}, drained: map[string]change{}, late: map[string]Lateness{}}
 }
 
-func (j *judge) breaks(r Rule, format string, args ...any) {
+// sure marks a violation that no hold-up of this process can be the reason of.
+const sure = false
+
+// late reports whether this process was held up since a time, for longer than a sidecar may be: what
+// was seen to come too late since then may have been in time.
+func late(h *lab.HoldUps, since, until time.Time) bool {
+	_, most := h.Within(since, until)
+	return most > permit.HoldUp
+}
+
+// lateSince is late up to now, and no longer ago than what is judged begins.
+func (j *judge) lateSince(since time.Time) bool {
+	now := time.Now()
+	if earliest := now.Add(-spans); since.Before(earliest) {
+		since = earliest
+	}
+	return late(&j.hold, since, now)
+}
+
+// slack is what is to be added to a time limit now: by as much a rule may seem to be broken that was
+// kept, on a machine that is as busy as this one was lately. It excuses nothing but lateness.
+func (j *judge) slack() time.Duration {
+	now := time.Now()
+	_, most := j.hold.Within(now.Add(-spans), now)
+	return seenLate + besides*most
+}
+
+func (j *judge) breaks(r Rule, heldUp bool, format string, args ...any) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.broken = append(j.broken, Violation{r, fmt.Sprintf(format, args...)})
+	j.breaksLocked(r, heldUp, format, args...)
+}
+
+// breaksLocked is breaks where j.mu is held.
+func (j *judge) breaksLocked(r Rule, heldUp bool, format string, args ...any) {
+	j.broken = append(j.broken, Violation{r, fmt.Sprintf(format, args...), heldUp})
 }
 
 func (j *judge) begins(id string, s *sent) {
@@ -135,18 +180,18 @@
 	j.arrivals[a.id] = append(j.arrivals[a.id], a)
 	s := j.requests[a.id]
 	if s == nil {
-		j.broken = append(j.broken, Violation{Lost, "an attempt of no request: " + a.id})
+		j.breaksLocked(Lost, sure, "an attempt of no request: %s", a.id)
 		return
 	}
 	drained, drains := j.drained[a.endpoint]
 	if drains {
 		j.afterDrain(a, s, drained)
 	}
-	if !s.left.IsZero() && a.first.After(s.left.Add(departedAfter+j.observer.slack())) {
-		j.broken = append(j.broken, Violation{Departed, fmt.Sprintf("%s: an attempt %v after its client left", a.id, a.first.Sub(s.left))})
+	if !s.left.IsZero() && a.first.After(s.left.Add(departedAfter+j.slack())) {
+		j.breaksLocked(Departed, j.lateSince(s.left), "%s: an attempt %v after its client left", a.id, a.first.Sub(s.left))
 	}
-	if left := s.deadline - a.first.Sub(s.at); a.told > left+deadlineSlack+j.observer.slack() {
-		j.broken = append(j.broken, Violation{Deadline, fmt.Sprintf("%s: told %v with %v left", a.id, a.told, left)})
+	if left := s.deadline - a.first.Sub(s.at); a.told > left+deadlineSlack+j.slack() {
+		j.breaksLocked(Deadline, j.lateSince(s.at), "%s: told %v with %v left", a.id, a.told, left)
 	}
 }
 
@@ -156,9 +201,10 @@
 	l := j.late[key]
 	l.Last = max(l.Last, a.first.Sub(drained.made))
 	told, written := j.registry[s.sidecar].countsAsTold(drained.name, drained.made)
-	if after := a.first.Sub(told); after > j.config.Grace+ruleSlack+j.observer.slack()-observedLeast {
+	over := told.Add(j.config.Grace)
+	if after := a.first.Sub(told); after > j.config.Grace+ruleSlack+j.slack()-seenLate {
 		l.After++
-		j.broken = append(j.broken, Violation{Drain, fmt.Sprintf("%s: sent to %s %v after that was told, written: %v", a.id, a.endpoint, after, written)})
+		j.breaksLocked(Drain, j.lateSince(over), "%s: sent to %s %v after that was told, written: %v", a.id, a.endpoint, after, written)
 	}
 	j.late[key] = l
 }
@@ -174,9 +220,12 @@
 		}
 		ran := slices.DeleteFunc(slices.Clone(all), func(a arrival) bool { return !a.ran })
 		for i := 1; i < len(ran); i++ {
-			doubled := classes[s.class].effect == unsafe || ran[i].cell != ran[0].cell || ran[i].first.Sub(ran[0].first) > classes[s.class].window
-			if doubled {
-				j.broken = append(j.broken, Violation{Duplicate, fmt.Sprintf("%s ran at %s and %s", id, ran[0].endpoint, ran[i].endpoint)})
+			first, again := ran[0], ran[i]
+			switch {
+			case classes[s.class].effect == unsafe, again.cell != first.cell:
+				j.breaksLocked(Duplicate, sure, "%s ran at %s and %s", id, first.endpoint, again.endpoint)
+			case again.first.Sub(first.first) > classes[s.class].window:
+				j.breaksLocked(Duplicate, late(&j.hold, first.first, again.first), "%s ran at %s and, out of the window, at %s", id, first.endpoint, again.endpoint)
 			}
 		}
 	}
--- a/internal/lab/trial/log.go
+++ b/internal/lab/trial/log.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
+	"time"
+
+	"spokegw/internal/lab"
 )
 
 // logFile keeps what a sidecar logs, and finds the violations in it that the sidecar has
@@ -13,12 +17,26 @@
 	mu    sync.Mutex
 	file  *os.File
 	rest  []byte // of a line that is not whole
-	found []string
+	found []finding
 }
 
 const maxFound = 100
 
-var marks = [][]byte{[]byte(`msg="rule violated"`), []byte("msg=panic"), []byte("panic:")}
+// finding is a line that tells of a violation.
+type finding struct {
+	text string
+	at   time.Time
+}
+
+// late reports whether it may be for a hold-up of this machine: a panic never is.
+func (f finding) late(h *lab.HoldUps) bool {
+	return strings.Contains(f.text, ruleMark) && late(h, f.at.Add(-spans), f.at)
+}
+
+// ruleMark is in the lines in which a sidecar tells that it has violated a rule.
+const ruleMark = `msg="rule violated"`
+
+var marks = [][]byte{[]byte(ruleMark), []byte("msg=panic"), []byte("panic:")}
 
 func newLogFile(path string) (*logFile, error) {
 	f, err := os.Create(path)
@@ -39,7 +57,7 @@
 		}
 		for _, mark := range marks {
 			if bytes.Contains(line, mark) && len(l.found) < maxFound {
-				l.found = append(l.found, string(line))
+				l.found = append(l.found, finding{string(line), time.Now()})
 			}
 		}
 		l.rest = rest
@@ -50,7 +68,7 @@
 
 func (l *logFile) Close() error { return l.file.Close() }
 
-func (l *logFile) violations() []string {
+func (l *logFile) violations() []finding {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.found
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -55,7 +55,7 @@
 	Calls                          int                 // to the registry
 	MostCalls                      int                 // in any second, of all sidecars
 	Faults                         []string            // that were played
-	Worst                          time.Duration       // that this process was held up
+	Worst                          time.Duration       // that this process was held up at once
 }
 
 // play is a run.
@@ -89,7 +89,7 @@
 	playing, stop := context.WithTimeout(ctx, c.Lasts)
 	defer stop()
 	var observing sync.WaitGroup
-	observing.Go(func() { p.judge.observer.run(playing) })
+	observing.Go(func() { p.judge.hold.Look(playing) })
 	var clients sync.WaitGroup
 	for i := range c.Sidecars {
 		for k := range c.Clients {
@@ -217,26 +217,25 @@
 	}
 	for _, s := range p.sidecars {
 		s.crashed()
-		for _, what := range s.log.violations() {
-			p.judge.breaks(Inside, "%s: %s", s.name, what)
+		for _, l := range s.log.violations() {
+			p.judge.breaks(Inside, l.late(&p.judge.hold), "%s: %s", s.name, l.text)
 		}
 	}
-	r.Broken, r.Worst = p.judge.broken, p.judge.observer.worst
+	r.Broken = p.judge.broken
+	_, r.Worst = p.judge.hold.Within(p.begun, time.Now())
 	return r
 }
 
 // sidecarProcess is one sidecar through all its processes.
 type sidecarProcess struct {
 	*play
-	name       string
-	from       *registry
-	listen     string
-	config     string
-	log        *logFile
-	generation atomic.Int64 // counts kills
-	killed     atomic.Bool  // it is down after a kill
-	ending     atomic.Int64 // Unix nanoseconds of SIGTERM; 0: it was not told to end
-	crowded    atomic.Bool
+	name   string
+	from   *registry
+	listen string
+	config string
+	log    *logFile
+	done   process.Disturbances
+	crowds atomic.Int64 // of idle clients that are there
 
 	busy sync.Mutex // held while something is done with the process
 	proc *process.Process
@@ -293,22 +292,12 @@
 	defer cancel()
 	s.proc = proc
 	if _, err := proc.Ready(ready); err != nil && ctx.Err() == nil {
-		s.judge.breaks(Crash, "%s is not ready in %v: %v", s.name, readyWithin, err)
+		s.judge.breaks(Crash, sure, "%s is not ready in %v: %v", s.name, readyWithin, err)
 	}
-	s.killed.Store(false)
-	s.ending.Store(0)
+	s.done.GoesOn()
 	return nil
 }
 
-// newUntil is how long new connections go on coming after SIGTERM.
-const newUntil = 400 * time.Millisecond
-
-// closesNew reports whether a connection that was opened at a time may be turned away.
-func (s *sidecarProcess) closesNew(at time.Time) bool {
-	ending := s.ending.Load()
-	return ending != 0 && at.Sub(time.Unix(0, ending)) > newUntil-observedLeast
-}
-
 // longestDeadline is that of the classes.
 const longestDeadline = 900 * time.Millisecond
 
@@ -316,7 +305,7 @@
 // another.
 func (s *sidecarProcess) restart(ctx context.Context, series []syscall.Signal) {
 	s.crashed()
-	s.ending.Store(time.Now().UnixNano())
+	s.done.Begins(process.Told)
 	s.proc.Signal(syscall.SIGTERM)
 	for _, sig := range series {
 		wait(ctx, 30*time.Millisecond)
@@ -328,15 +317,17 @@
 		s.proc.Kill()
 		<-s.proc.Ended
 	}
+	s.done.HasEnded()
 	s.again(ctx)
 }
 
 // kill kills the process outright and starts another.
 func (s *sidecarProcess) kill(ctx context.Context) {
-	s.killed.Store(true)
-	s.generation.Add(1)
+	s.crashed()
+	s.done.Begins(process.Killed)
 	s.proc.Kill()
 	<-s.proc.Ended
+	s.done.HasEnded()
 	s.again(ctx)
 }
 
@@ -345,7 +336,7 @@
 		return
 	}
 	if err := s.start(ctx); err != nil {
-		s.judge.breaks(Crash, "%s: %v", s.name, err)
+		s.judge.breaks(Crash, sure, "%s: %v", s.name, err)
 	}
 }
 
@@ -353,7 +344,7 @@
 func (s *sidecarProcess) crashed() {
 	select {
 	case <-s.proc.Ended:
-		s.judge.breaks(Crash, "%s has ended by itself", s.name)
+		s.judge.breaks(Crash, sure, "%s has ended by itself", s.name)
 	default:
 	}
 }
--- a/internal/lab/trial/registry.go
+++ b/internal/lab/trial/registry.go
@@ -270,14 +270,12 @@
 func (r *registry) countsAsTold(name string, made time.Time) (told time.Time, written bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	told = made
-	if r.down != NoFault {
-		return time.Now().Add(time.Hour), false
-	}
-	if r.clear.After(made) {
+	if told = made; r.clear.After(made) {
 		told = r.clear
 	}
-	told = told.Add(toldAtLatest)
+	if told = told.Add(toldAtLatest); r.down != NoFault { // it is not to be had now
+		told = time.Now().Add(time.Hour)
+	}
 	at := r.heard[name]
 	if !at.IsZero() && at.Before(told) {
 		told = at
