--- a/internal/lab/process/disturbance.go
+++ b/internal/lab/process/disturbance.go
@@ -54,12 +54,17 @@
 	case Stopped: // the system takes them
 		return false
 	}
-	return !closed.After(to) && (d.Until.IsZero() || !from.After(d.Until))
+	return d.lasts(closed, from, to)
+}
+
+// lasts reports whether what began by it at a time was so at some moment between two others.
+func (d *Disturbance) lasts(began, from, to time.Time) bool {
+	return !began.After(to) && (d.Until.IsZero() || !from.After(d.Until))
 }
 
 // StoodStill reports whether the process stood still at some moment of a time.
 func (d *Disturbance) StoodStill(from, to time.Time) bool {
-	return d.Cause == Stopped && !d.From.After(to) && (d.Until.IsZero() || !from.After(d.Until))
+	return d.Cause == Stopped && d.lasts(d.From, from, to)
 }
 
 // Disturbances are all that was done to a process and those that came after it, in order.
