--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -39,6 +39,12 @@
 
 	starts = "Test(BurstDoesNotPushColdEndpointsOver|ManyMeetReplacedEndpoints|ColdServersAreSparedWhileMostIsTurnedAway|HeldForProbesAndOverItsBudget|PopularKeyDoesNotPushOneColdEndpointOver)"
 
+	// Of what judges sidecars beside kills: the sidecar's, and the judges' own.
+	besideKills  = "TestNothingIsLostBesideKills"
+	verdicts     = "TestVerdicts"
+	trialJudge   = "Test(DroppedByTheNextProcess|CutOffByAKill|DroppedByAProcessThatEnds|RefusedBeforeAKill|ToldBeforeDiscoveryIsDown|HeldUp)"
+	trialOutcome = "TestOutcome"
+
 	budgets = "TestEveryOrder"
 	charges = "TestChargesInEveryOrder"
 	courses = "TestCourseInEveryOrder"
@@ -204,6 +210,27 @@
 	{"internal/discovery/watch.go", "	w.lost(w.usual >= worked)\n", "", watches, "TestSlowDiscoveryIsHeard"},
 	{"internal/discovery/watch.go", "		w.drop(w.calls[len(w.calls)-1])\n	}\n	w.begin(ctx, true)", "		w.drop(w.calls[0])\n	}\n	w.begin(ctx, true)", watches, "TestSlowDiscoveryIsHeard"},
 	{"internal/discovery/watch.go", "	w.callOff()\n	w.counts.answered", "	w.counts.answered", watches, "TestSlowDiscoveryIsHeard"},
+
+	{"internal/front/http1/plain.go", "	kept = p.write(&a, last)\n", "	kept = time.Now().UnixNano()%300 != 0 && p.write(&a, last)\n", besideKills, "TestNothingIsLostBesideKills"},
+	{"internal/front/http1/plain.go", "	kept = p.write(&a, last)\n", "	if time.Now().UnixNano()%300 == 0 {\n		os.Exit(1)\n	}\n	kept = p.write(&a, last)\n", besideKills, "TestNothingIsLostBesideKills"},
+	{"internal/front/http1/server.go", "acceptAfterStop = 600 * time.Millisecond", "acceptAfterStop = 0 * time.Millisecond", besideKills, "TestNothingIsLostBesideKills"},
+	{"internal/lab/process/disturbance.go", " && !end.Before(d.From) && !d.laterThan(begun)", " && !d.laterThan(begun)", verdicts, "TestVerdicts"},
+	{"internal/lab/process/disturbance.go", " && !end.Before(d.From) && !d.laterThan(begun)", " && !end.Before(d.From)", verdicts, "TestVerdicts"},
+	{"internal/lab/process/disturbance.go", "d.Cause == Killed && ", "", verdicts, "TestVerdicts"},
+	{"internal/lab/process/disturbance.go", "closed = closed.Add(takesNew)", "closed = d.From", verdicts, "TestVerdicts"},
+	{"internal/lab/process/disturbance.go", "(d.Until.IsZero() || !from.After(d.Until))", "true", verdicts, "TestVerdicts"},
+	{"internal/lab/process/disturbance.go", " && made.After(d.From.Add(takesNew))", "", verdicts, "TestVerdicts"},
+	{"internal/lab/federation/judge.go", "	if e.droppedBefore(r) {\n", "	if false {\n", verdicts, "TestVerdicts"},
+	{"internal/lab/federation/judge.go", " && !e.reached(r.ID, end)\n", "\n", verdicts, "TestVerdicts"},
+	{"internal/lab/federation/judge.go", "(d.Until.IsZero() || over.Before(d.Until))", "true", verdicts, "TestVerdicts"},
+	{"internal/lab/federation/judge.go", "late := r.Took-heldUp >", "late := false && r.Took-heldUp >", verdicts, "TestVerdicts"},
+	{"internal/lab/process/disturbance.go", " && !end.Before(d.From) && !d.laterThan(begun)", " && !end.Before(d.From)", trialJudge, "TestDroppedByTheNextProcess"},
+	{"internal/lab/process/disturbance.go", "	case Stopped: // the system takes them\n		return false\n", "", verdicts, "TestVerdicts"},
+	{"internal/lab/trial/client.go", "	case side.done.Cut(c.begun, s.at.Add(took)): // its process was killed: its client sends again\n", "", trialJudge, "TestCutOffByAKill"},
+	{"internal/lab/trial/client.go", "!side.done.ClosedDoor(begun, made) && ", "false && ", trialJudge, "TestRefusedBeforeAKill"},
+	{"internal/lab/trial/registry.go", "	if !at.IsZero() && at.Before(told) {\n", "	if !at.IsZero() && at.Before(told) && r.down == NoFault {\n", trialJudge, "TestToldBeforeDiscoveryIsDown"},
+	{"internal/lab/trial/judge.go", "return most > permit.HoldUp", "_, most = h.Within(time.Time{}, time.Now())\n	return most > permit.HoldUp", trialJudge, "TestHeldUp"},
+	{"bench/trial/main.go", "return !v.HeldUp }", "return false }", trialOutcome, "TestOutcome"},
 }
 
 var of = flag.String("of", "", "only mutants of files with this in their path")
@@ -259,8 +286,15 @@
 
 // tested is the folder whose tests find a mutant: that of its file, but for what serves others.
 func tested(m mutant) string {
-	if m.test == leases {
+	switch m.test {
+	case leases:
 		return "internal/fleet/quota"
+	case besideKills:
+		return "cmd/spokegw"
+	case verdicts:
+		return "internal/lab/federation"
+	case trialJudge:
+		return "internal/lab/trial"
 	}
 	return filepath.Dir(m.file)
 }
@@ -300,7 +334,7 @@
 	}
 	output, _ := exec.Command("go", args...).CombinedOutput()
 	found := end.FindSubmatch(output)
-	if slices.Contains([]string{measures, losses, effects, gates, drains, clocks, renewals, watches, starts}, m.test) { // each test is a property
+	if slices.Contains([]string{measures, losses, effects, gates, drains, clocks, renewals, watches, starts, besideKills, verdicts, trialJudge, trialOutcome}, m.test) { // each test is a property
 		found = failed.FindSubmatch(output)
 	}
 	if found == nil {
