--- a/cmd/spokegw/restart_test.go
+++ b/cmd/spokegw/restart_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"spokegw/internal/lab"
+	"spokegw/internal/lab/process"
 	"spokegw/internal/lab/scene"
 )
 
@@ -37,6 +38,13 @@
 	}
 }
 
+// came reports whether a request has come to any cell.
+func (c *cells) came(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.met[id]) > 0
+}
+
 // Of six sidecars four are ended and started anew, two of them killed, while requests
 // with keys are out and one endpoint of each cell is silent. Every request that a
 // sidecar had and was not killed under has one answer; none goes to a second cell, nor
@@ -75,10 +83,9 @@
 		}
 		sites, now = append(sites, s), append(now, s.start())
 	}
-	killed := make([]chan struct{}, len(sites)) // closed before it is
-	for i, p := range now {
+	done := make([]process.Disturbances, len(sites))
+	for _, p := range now {
 		p.ready(t)
-		killed[i] = make(chan struct{})
 	}
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
@@ -95,7 +102,9 @@
 						return
 					default:
 					}
+					begun := time.Now() // each request has a connection of its own
 					id, status, err := s.report(client)
+					over := time.Now()
 					mu.Lock()
 					if status != 0 {
 						answered++
@@ -104,17 +113,15 @@
 					switch {
 					case err == nil && status != 200 && status != 503 && status != 429 && status != 502 && status != 504:
 						t.Errorf("sidecar %d answered %d", i, status)
-					case errors.Is(err, syscall.ECONNREFUSED):
+					case err == nil:
+					case errors.Is(err, syscall.ECONNREFUSED) && done[i].ClosedDoor(begun, over):
 						<-time.After(time.Millisecond) // it is not up yet
-					case err != nil:
-						select {
-						case <-killed[i]: // with what it had
-							mu.Lock()
-							lost++
-							mu.Unlock()
-						default:
-							t.Errorf("sidecar %d, which was not killed: request %s: %v", i, id, err)
-						}
+					case done[i].Cut(begun, over), done[i].MayShut(begun, begun) && !met.came(id): // with what it had
+						mu.Lock()
+						lost++
+						mu.Unlock()
+					default:
+						t.Errorf("sidecar %d, which was not killed: request %s: %v", i, id, err)
 					}
 				}
 			})
@@ -127,16 +134,19 @@
 	}
 	for i := range 4 {
 		if i%2 == 0 {
-			close(killed[i])
+			done[i].Begins(process.Killed)
 			now[i].Kill()
 		} else {
+			done[i].Begins(process.Told)
 			now[i].Signal(syscall.SIGTERM)
 		}
 	}
 	for i := range 4 {
 		await(t, "a sidecar to end", now[i].Ended)
+		done[i].HasEnded()
 		now[i] = sites[i].start()
 		now[i].ready(t)
+		done[i].GoesOn()
 	}
 	for n, from := 0, 0; n < from+500; <-time.After(time.Millisecond) {
 		mu.Lock()
