--- a/bench/upgrade/main.go
+++ b/bench/upgrade/main.go
@@ -57,6 +57,7 @@
 // tally is what clients saw.
 type tally struct {
 	asked, served, refused, failed, reset, noAnswer, doubled atomic.Int64
+	came                                                     sync.Map // requests, by id, that endpoints met
 	mu                                                       sync.Mutex
 	took                                                     []time.Duration
 }
@@ -68,9 +69,8 @@
 	}
 	defer os.RemoveAll(dir)
 	var total tally
-	var seen sync.Map
 	backends, err := scene.StartBackends(4, lab.EndpointConfig{Workers: 64, Body: 2000, Work: 5 * time.Millisecond, Seen: func(r *http.Request) {
-		if _, twice := seen.LoadOrStore(r.Header.Get("Req-Id"), true); twice {
+		if _, twice := total.came.LoadOrStore(r.Header.Get("Req-Id"), true); twice {
 			total.doubled.Add(1)
 		}
 	}})
@@ -265,13 +265,15 @@
 		r := bufio.NewReader(c)
 		if _, err := r.Peek(1); err != nil {
 			c.Close()
-			if c = nil; !fresh && !errors.Is(err, os.ErrDeadlineExceeded) {
-				continue // it was closed between two requests, as it may be
-			}
-			if errors.Is(err, os.ErrDeadlineExceeded) {
+			_, sentOn := t.came.Load(id)
+			switch {
+			case sentOn, errors.Is(err, os.ErrDeadlineExceeded):
 				t.noAnswer.Add(1)
-			} else {
+			case fresh:
 				t.reset.Add(1)
+			default: // it was closed between two requests, as it may be
+				c = nil
+				continue
 			}
 			return nil
 		}
