--- a/internal/lab/federation/federation.go
+++ b/internal/lab/federation/federation.go
@@ -46,7 +46,7 @@
 	links    [][]*links.Link // from, to
 	registry *lab.Registry
 	begun    time.Time
-	asked    time.Duration // when clients began
+	hold     lab.HoldUps
 
 	mu        sync.Mutex
 	ran       []time.Duration // requests at the endpoints, since begun
--- a/internal/lab/federation/gateway.go
+++ b/internal/lab/federation/gateway.go
@@ -33,14 +33,12 @@
 	load    *lab.Load
 	mu      sync.Mutex
 	process *process.Process
-	down    []span // while it was killed or stood still
+	done    process.Disturbances
+	crashes int // processes that ended by themselves, but for the one there is
 
 	demand atomic.Int64 // requests a second that clients ask for
 }
 
-// span is a time since the federation began; an end of 0: it lasts.
-type span struct{ from, to time.Duration }
-
 // configure writes a gateway's files.
 func (g *Gateway) configure() error {
 	f, size := g.of, 0
@@ -112,27 +110,42 @@
 	if _, err := p.Ready(ctx); err != nil {
 		return fmt.Errorf("federation: %s: %w", g.Name, err)
 	}
-	g.setDown(false)
+	g.done.GoesOn()
 	return nil
 }
 
-// setDown notes that the process is killed or stands still, or no longer.
-func (g *Gateway) setDown(down bool) {
+// disturb notes that something is about to be done to the process.
+func (g *Gateway) disturb(c process.Cause) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, last := time.Since(g.of.begun), len(g.down)-1
-	if lasts := last >= 0 && g.down[last].to == 0; down && !lasts {
-		g.down = append(g.down, span{from: now})
-	} else if !down && lasts {
-		g.down[last].to = now
+	if g.endedByItself() {
+		g.crashes++
+	}
+	g.done.Begins(c)
+}
+
+// endedByItself reports whether the process there is has ended, with nothing done to it that ends
+// one; g.mu is held.
+func (g *Gateway) endedByItself() bool {
+	if g.process == nil || g.done.Ends() {
+		return false
+	}
+	select {
+	case <-g.process.Ended:
+		return true
+	default:
+		return false
 	}
 }
 
-// wasDown reports whether it was killed or stood still at some moment of a time.
-func (g *Gateway) wasDown(from, to time.Duration) bool {
+// crashed is how many processes have ended by themselves.
+func (g *Gateway) crashed() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.down, func(d span) bool { return d.from <= to && (d.to == 0 || from <= d.to) })
+	if g.endedByItself() {
+		return g.crashes + 1
+	}
+	return g.crashes
 }
 
 // Process is the gateway's, as it was started last.
@@ -144,19 +157,21 @@
 
 // Kill kills the process, and waits until it has ended.
 func (g *Gateway) Kill() {
-	g.setDown(true)
+	g.disturb(process.Killed)
 	p := g.Process()
 	p.Kill()
 	<-p.Ended
+	g.done.HasEnded()
 }
 
 // Restart has the process end as planned, with SIGTERM, and starts another. Requests that it
 // had taken when it was told count as any other's.
 func (g *Gateway) Restart() error {
+	g.disturb(process.Told)
 	p := g.Process()
 	p.Signal(syscall.SIGTERM)
 	<-p.Ended
-	g.setDown(true)
+	g.done.HasEnded()
 	return g.Start()
 }
 
@@ -184,14 +199,14 @@
 
 // Pause has the process stand still.
 func (g *Gateway) Pause() {
-	g.setDown(true)
+	g.disturb(process.Stopped)
 	g.Process().Signal(syscall.SIGSTOP)
 }
 
 // GoOn has it go on.
 func (g *Gateway) GoOn() {
 	g.Process().Signal(syscall.SIGCONT)
-	g.setDown(false)
+	g.done.GoesOn()
 }
 
 // Fleet is the address at which the gateway hears the others.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -3,16 +3,15 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -27,12 +26,14 @@
 	Cost    time.Duration                     // hinted; 0: none
 	Wanted  time.Duration                     // an answer up to here is in time
 	Give    time.Duration                     // the client gives up after this
+	Wait    time.Duration                     // and still looks so long whether an answer comes; 0: 50 ms
 	Keyed   bool
 	Headers http.Header // more of them, or others
 	Idle    int         // connections that may rest; 0: 64
 	// Again tells of a keyed request, by its id and when it was sent, whose connection ended with
 	// no answer, whether its gateway had not read it: then it is sent once more. nil: none is.
-	Again func(id string, sent time.Time) bool
+	Again  func(id string, sent time.Time) bool
+	Traced bool // results tell of the sends
 
 	mu    sync.Mutex
 	stats []Result // the latest, keepResults at most and half of it at least
@@ -41,21 +42,61 @@
 // keepResults bounds what a load remembers.
 const keepResults = 1 << 19
 
+// Ending is how a request ended.
+type Ending int
+
+// The endings. Unsent: too many were open. Unconnected: nobody took the connection that it
+// was to go by. Broken: the connection ended before the answer was whole. TimedOut: the client
+// gave up.
+const (
+	Answered Ending = iota
+	Unsent
+	Unconnected
+	Broken
+	TimedOut
+	Spoilt // whatever came was no answer
+)
+
+func (e Ending) String() string {
+	return [...]string{"answered", "not sent", "not connected", "broken", "timed out", "spoilt"}[e]
+}
+
+// Connection is one that a client has made to a sidecar.
+type Connection struct {
+	Begun time.Time // when the client began to connect
+	Made  time.Time // when it was connected
+}
+
+// Send is one time that a request was given to a connection.
+type Send struct {
+	Connection
+	At time.Time
+}
+
 // Result is what became of one request.
 type Result struct {
-	At      time.Duration // when it was sent, since the start
+	ID      string
+	At      time.Time // when it was sent
 	Took    time.Duration
 	Status  int // 0: no answer
+	Ending  Ending
 	RetryIn string
 	Cost    time.Duration
-
-	Unconnected bool // nobody took the connection that it was to go by
+	// Sends are those that got a connection, where the load is traced. There is more than one where a kept connection ended with
+	// no answer: the client library sends a request without a key again by itself, and Again may have a keyed one be sent again.
+	Sends []Send
 }
 
+// End is when the client had the answer, or knew that there was none.
+func (r *Result) End() time.Time { return r.At.Add(r.Took) }
+
 // Refused reports whether the request was turned away with the promise that a
 // retry is harmless.
 func (r Result) Refused() bool { return r.Status == 429 || r.Status == 503 }
 
+// usualWait is how long after its time a client still looks for an answer.
+const usualWait = 50 * time.Millisecond
+
 // maxOpen bounds the requests of a load that are open at once; beyond it none
 // are sent, and those are told as without an answer.
 const maxOpen = 4096
@@ -88,14 +129,13 @@
 		select {
 		case places <- struct{}{}:
 		default:
-			l.add(Result{At: time.Since(start), Cost: l.Cost})
+			l.add(Result{At: time.Now(), Ending: Unsent, Cost: l.Cost})
 			continue
 		}
 		open.Add(1)
 		go func() {
 			defer open.Done()
-			r := l.ask(client, addr, time.Since(start))
-			l.add(r)
+			l.add(l.ask(client, addr))
 			<-places
 		}()
 	}
@@ -107,7 +147,7 @@
 
 // client is that by which the load is sent.
 func (l *Load) client() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmp.Or(l.Idle, 64), MaxConnsPerHost: 0, IdleConnTimeout: rests, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmp.Or(l.Idle, 64), MaxConnsPerHost: 0, IdleConnTimeout: rests, DisableCompression: true, DialContext: dial}}
 }
 
 func sleepUntil(ctx context.Context, due time.Time) bool {
@@ -164,14 +204,17 @@
 	return r
 }
 
-func (l *Load) ask(client *http.Client, addr string, at time.Duration) Result {
-	ctx, cancel := context.WithTimeout(context.Background(), l.Give+50*time.Millisecond)
+func (l *Load) ask(client *http.Client, addr string) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), l.Give+cmp.Or(l.Wait, usualWait))
 	defer cancel()
-	r := Result{At: at, Cost: l.Cost}
 	req := l.Request(ctx, addr)
-	begun := time.Now()
+	r := Result{ID: req.Header.Get("Req-Id"), At: time.Now(), Cost: l.Cost}
+	var sends sends
+	if l.Traced {
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sends.got}))
+	}
 	resp, err := client.Do(req)
-	if err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && l.Again(req.Header.Get("Req-Id"), begun) {
+	if err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && l.Again(r.ID, r.At) {
 		req.Body, _ = req.GetBody()
 		resp, err = client.Do(req)
 	}
@@ -180,8 +223,8 @@
 		resp.Body.Close()
 		r.RetryIn = resp.Header.Get("Retry-After")
 	}
-	r.Took = time.Since(begun)
-	r.Unconnected = errors.Is(err, syscall.ECONNREFUSED)
+	r.Took = time.Since(r.At)
+	r.Ending, r.Sends = ending(err), sends.taken()
 	if err == nil {
 		r.Status = resp.StatusCode
 	}
@@ -197,14 +240,14 @@
 	Work                                time.Duration // of what was served, as hinted
 }
 
-// Between sums up the requests sent in a span of time since the start.
-func (l *Load) Between(from, to time.Duration) Summary {
+// Between sums up the requests sent from one time on and before another.
+func (l *Load) Between(from, to time.Time) Summary {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := Summary{Team: l.Team}
 	var served, refused []time.Duration
 	for _, r := range l.stats {
-		if r.At < from || r.At >= to {
+		if r.At.Before(from) || !r.At.Before(to) {
 			continue
 		}
 		s.Asked++
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -56,10 +56,10 @@
 		}
 		client := load.client()
 		defer client.CloseIdleConnections()
-		if r := load.ask(client, l.Addr().String(), 0); r.Status != http.StatusOK {
+		if r := load.ask(client, l.Addr().String()); r.Status != http.StatusOK {
 			t.Fatalf("the first: %+v", r)
 		}
-		broken := load.ask(client, l.Addr().String(), 0)
+		broken := load.ask(client, l.Addr().String())
 		mu.Lock()
 		keys, most := len(came), 0
 		for _, n := range came {
