policy: slow start has the names of a token bucket

allowance, credit, part, earn (two functions), spend, due (two), rathers, alone and unaided stood for token bucket, tokens, rate, refill, charge, available and preferredCold, prefersCold, coldShare and baseRate.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -124,10 +124,10 @@
 		each("class", 0, j, &c.per, &c.n, &c.work.value, &c.work.weight)
 	}
 	for _, s := range f.servers {
-		h, due := s.at(now), s.allowed.due()
+		h, available := s.at(now), s.bucket.available()
 		out, warm, speed, chance := float64(s.inFlight), s.warmth(now, &b.set), f.kinds[s.Kind].value(), s.chance
-		each("endpoint", int(s.ID), 0, &h, &due, &out, &warm, &speed, &chance, &s.Nominal)
-		s.allowed.adopt(due)
+		each("endpoint", int(s.ID), 0, &h, &available, &out, &warm, &speed, &chance, &s.Nominal)
+		s.bucket.restore(available)
 		s.standing, f.stale = standing{1 - h, now}, true
 	}
 }
@@ -138,7 +138,7 @@
 	if !b.begun {
 		b.begun = true
 		b.lastIn, b.adm.updated, b.home = now, now, b.rng.Uint64()
-		b.fleet.slowStart.all = b.fleet.slowStart.newAllowance(now, b.random)
+		b.fleet.slowStart.all = b.fleet.slowStart.newBucket(now, b.random)
 		b.planSubscribe(b.renewal.first(&b.set, b.random()))
 	}
 }
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -52,7 +52,7 @@
 	classes               []standing    // of each: what fails may be one class's alone
 	weight, chance, rank  float64       // w in [0,1] by readiness, cold ramp and health; of one draw: w * p_i*/k_i; scratch of chooseByKey
 	load                  float64       // requests held, as reported
-	allowed               allowance     // while it is cold
+	bucket                tokenBucket   // while it is cold
 	loadAt, kept, through time.Duration // kept: until then a connection to it may rest; through: the latest start of what it answered
 }
 
@@ -95,11 +95,11 @@
 		}
 		s := f.byID[e.ID]
 		if s == nil {
-			s = &server{loadAt: -reportFresh - 1, allowed: f.slowStart.newAllowance(now, random)}
+			s = &server{loadAt: -reportFresh - 1, bucket: f.slowStart.newBucket(now, random)}
 			f.byID[e.ID], f.servers = s, append(f.servers, s)
 		} else if e.Started != s.Started {
 			s.standing, s.classes = standing{}, nil // a new process owes nothing for the old one's faults
-			s.allowed = f.slowStart.newAllowance(now, random)
+			s.bucket = f.slowStart.newBucket(now, random)
 		}
 		s.Endpoint, s.listed = e, e.Readiness != Gone
 	}
--- a/policy/request.go
+++ b/policy/request.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	b.refresh(r.Class)
-	b.earnCold(r)
+	b.refillCold(r)
 	ok := func(s *server) bool { return b.maySend(r, s) && b.withinBudget(r, s) }
 	isNew := func(s *server) bool { return r.count(func(a *attempt) bool { return a.server == s }) == 0 }
 	other := func(s *server) bool { return isNew(s) && ok(s) }
@@ -137,7 +137,7 @@
 	if x == nil && len(r.attempts) > 0 {
 		x = b.fleet.scan(b.random, ok)
 	}
-	if cold := b.due(r, other); cold != nil && (x == nil || cold.inFlight <= x.inFlight) {
+	if cold := b.preferredCold(r, other); cold != nil && (x == nil || cold.inFlight <= x.inFlight) {
 		b.send(r, cold)
 		return true
 	}
@@ -177,7 +177,7 @@
 	b.adm.retries -= indicator(r.ran() > 0 && !b.set.HostRetries)
 	s.inFlight++
 	s.kept = b.now + b.set.ConnIdle/2
-	b.spend(r, s)
+	b.charge(r, s)
 	patience := r.Upload + time.Duration(overduePart*float64(b.set.Classes[r.Class].Aim))
 	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: b.now, due: b.now + patience, open: true}
 	r.attempts = append(r.attempts, a)
@@ -326,7 +326,7 @@
 	c, work := &b.times[r.Class], b.work(r)
 	per := o.Elapsed.Seconds() / work
 	if !failed {
-		b.answered(r, a.server)
+		b.refillByAnswer(r, a.server)
 	}
 	if !failed && per > 0 {
 		a.server.through = max(a.server.through, a.sent)
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -19,30 +19,29 @@
 	emptier = 2.0
 	// defaultFallMultiple stands for a multiple that the settings don't tell.
 	defaultFallMultiple = 1.5
-	// unaided is the part of a cold endpoint's ability, as told by the usual answer time, that it is
+	// baseRatePart is the part of a cold endpoint's ability, as told by the usual answer time, that it is
 	// sent where there are next to no others, and so nothing to learn from.
-	unaided = 0.5
+	baseRatePart = 0.5
 	// growth is how much more than was answered cold endpoints are sent where there are next to no
 	// others: all of it being answered, they can do more.
 	growth = 0.35
-	// aloneOrder is the power of the part of the draws that is left to cold endpoints, for how far
-	// they are alone.
-	aloneOrder = 4.0
-	// mostlyAlone is how far alone cold endpoints are that tell for all: two thirds of the draws are theirs.
-	mostlyAlone = 0.2
+	// coldShareOrder is the power of the part of the draws that falls to cold endpoints, for coldShare.
+	coldShareOrder = 4.0
+	// mostlyCold is the coldShare from which cold endpoints tell for all: two thirds of the draws are theirs.
+	mostlyCold = 0.2
 	// promptPart is the part of a class's aim in which a request is answered where nothing is known.
 	promptPart = 0.25
-	// mostCredit bounds what is saved up for cold endpoints, in requests of mean work. All sidecars
+	// endpointBurst bounds what is saved up for cold endpoints, in requests of mean work. All sidecars
 	// may spend theirs in the same moment.
-	mostCredit = 0.5
-	// mostAhead is how much more than one endpoint is due it may be sent, in requests of mean work,
+	endpointBurst = 0.5
+	// endpointDebt is how much more than one endpoint is due it may be sent, in requests of mean work,
 	// while all of them together are due more: keys don't fall evenly.
-	mostAhead = 3.0
-	// mostSaved bounds what all sidecars together have saved up for a cold endpoint, and mostWaiting
+	endpointDebt = 3.0
+	// fleetBurst bounds what all sidecars together have saved up for a cold endpoint, and fleetUnused
 	// what of that waits to be drawn for, in requests of mean work.
-	mostSaved, mostWaiting = 12.0, 2.0
-	// leastSaved is what each sidecar may save up all the same, in requests of mean work.
-	leastSaved = 0.1
+	fleetBurst, fleetUnused = 12.0, 2.0
+	// leastBurst is what each sidecar may save up all the same, in requests of mean work.
+	leastBurst = 0.1
 	// mostWork and leastWork bound what one request counts, in requests of mean work.
 	mostWork, leastWork = 4.0, 0.1
 )
@@ -55,34 +54,34 @@
 // can do, and a part of what it can do itself. Nothing else earns: bursts, retries and second
 // copies do not, unless they are answered.
 type slowStart struct {
-	answered float64 // requests of mean work, so far
-	alone    float64 // how far cold ones are: near 1, next to all draws are left to them
-	cold     []*server
-	all      allowance // of all cold endpoints together; its part is the sum of theirs
-	warmth   float64   // the sum of theirs
-}
-
-// allowance is what one cold endpoint may be sent.
-type allowance struct {
-	part    float64 // of one request, for each that is answered
-	credit  float64 // requests of mean work; from 0 on it may be sent one
-	counted float64 // slowStart.answered, as credit was brought up to date
+	answered  float64 // requests of mean work, so far
+	coldShare float64 // how far draws are left to cold ones: near 1, next to all of them
+	cold      []*server
+	all       tokenBucket // of all cold endpoints together; its rate is the sum of theirs
+	warmth    float64     // the sum of theirs
+}
+
+// tokenBucket holds what one cold endpoint may be sent.
+type tokenBucket struct {
+	rate    float64 // tokens for each request that is answered
+	tokens  float64 // requests of mean work; from 0 on it may be sent one
+	counted float64 // slowStart.answered, as it was refilled last
 	at      time.Duration
 }
 
-// newAllowance begins anywhere between two requests: sidecars that begin together don't send together.
-func (f *slowStart) newAllowance(now time.Duration, random func() float64) allowance {
-	return allowance{credit: -random(), counted: f.answered, at: now}
+// newBucket begins anywhere between two requests: sidecars that begin together don't send together.
+func (f *slowStart) newBucket(now time.Duration, random func() float64) tokenBucket {
+	return tokenBucket{tokens: -random(), counted: f.answered, at: now}
 }
 
-// due is the part of a request that the endpoint is due.
-func (a *allowance) due() float64 { return math.Min(math.Max(1+a.credit, 0), 1) }
+// available is the part of a request that the endpoint may be sent.
+func (b *tokenBucket) available() float64 { return math.Min(math.Max(1+b.tokens, 0), 1) }
 
-// adopt takes what another process knew to be due. What it had saved up beyond one request is
+// restore takes what another process knew to be available. What it had saved up beyond one request is
 // not taken: it may have been spent there.
-func (a *allowance) adopt(due float64) {
-	if due != a.due() {
-		a.credit = due - 1
+func (b *tokenBucket) restore(available float64) {
+	if available != b.available() {
+		b.tokens = available - 1
 	}
 }
 
@@ -122,59 +121,59 @@
 		}
 	}
 	start := &f.slowStart
-	start.alone = math.Pow(coldChances/math.Max(chances, math.SmallestNonzeroFloat64), aloneOrder)
-	start.earn(&start.all, start.most(set.FleetSize), now, start.warmth, 0)
-	start.all.part, start.warmth = 0, 0
+	start.coldShare = math.Pow(coldChances/math.Max(chances, math.SmallestNonzeroFloat64), coldShareOrder)
+	start.refill(&start.all, start.burst(set.FleetSize), now, start.warmth, 0)
+	start.all.rate, start.warmth = 0, 0
 	for _, s := range start.cold {
 		warm := s.warmth(now, set)
-		start.earn(&s.allowed, mostCredit, now, warm, 0)
+		start.refill(&s.bucket, endpointBurst, now, warm, 0)
 		byChance := emptier / (1 + warm) * s.chance / math.Max(chances, math.SmallestNonzeroFloat64)
 		bySize := set.gain() * s.Nominal * warm / math.Max(sizes, s.Nominal*warm)
-		s.allowed.part = math.Min(byChance, bySize) * (1 + growth*start.alone)
-		start.all.part += s.allowed.part
+		s.bucket.rate = math.Min(byChance, bySize) * (1 + growth*start.coldShare)
+		start.all.rate += s.bucket.rate
 		start.warmth += warm
 	}
 }
 
-// earn brings a credit up to date. unaidedRate is how many requests a second a warm endpoint may be
+// refill adds what was earned since the last time, up to burst. baseRate is how many requests a second a warm endpoint may be
 // sent by this sidecar where there is nothing to learn from; 0: it is not known.
-func (f *slowStart) earn(a *allowance, most float64, now time.Duration, warmth, unaidedRate float64) {
-	earned := (f.answered - a.counted) * a.part
-	if unaidedRate > 0 {
-		earned += (now - a.at).Seconds() * unaidedRate * warmth * f.alone
-		a.at = now
+func (f *slowStart) refill(b *tokenBucket, burst float64, now time.Duration, warmth, baseRate float64) {
+	earned := (f.answered - b.counted) * b.rate
+	if baseRate > 0 {
+		earned += (now - b.at).Seconds() * baseRate * warmth * f.coldShare
+		b.at = now
 	}
-	a.credit = math.Min(a.credit+earned, most)
-	a.counted = f.answered
+	b.tokens = math.Min(b.tokens+earned, burst)
+	b.counted = f.answered
 }
 
-// most bounds what this sidecar saves up for all cold endpoints, one of size.
-func (f *slowStart) most(size int) float64 {
+// burst bounds what this sidecar saves up for all cold endpoints, one of size.
+func (f *slowStart) burst(size int) float64 {
 	cold := float64(len(f.cold))
-	return math.Max(leastSaved, cold*math.Min(mostCredit, mostSaved/float64(size)))
+	return math.Max(leastBurst, cold*math.Min(endpointBurst, fleetBurst/float64(size)))
 }
 
-// unaidedRate is the requests a second that a warm endpoint surely can do, for this sidecar alone:
+// baseRate is the requests a second that a warm endpoint surely can do, for this sidecar alone:
 // one that works on one request at a time takes the usual time, or what such a request is told to
 // cost, for each.
-func (b *Balancer) unaidedRate(r *request) float64 {
+func (b *Balancer) baseRate(r *request) float64 {
 	usual := b.meanTime()
 	if usual <= 0 {
 		usual = cmp.Or(r.Cost, b.set.Classes[r.Class].Aim.Seconds()*promptPart)
 	}
-	return unaided * math.Min(1, b.set.fallMultiple()/2) / math.Max(usual*float64(b.set.FleetSize), math.SmallestNonzeroFloat32)
+	return baseRatePart * math.Min(1, b.set.fallMultiple()/2) / math.Max(usual*float64(b.set.FleetSize), math.SmallestNonzeroFloat32)
 }
 
-// earnCold brings the credits of cold endpoints up to date, for a request that comes.
-func (b *Balancer) earnCold(r *request) {
+// refillCold refills the buckets of cold endpoints, for a request that comes.
+func (b *Balancer) refillCold(r *request) {
 	start := &b.fleet.slowStart
 	if len(start.cold) == 0 {
 		return
 	}
-	rate := b.unaidedRate(r)
-	start.earn(&start.all, start.most(b.set.FleetSize), b.now, start.warmth, rate)
+	rate := b.baseRate(r)
+	start.refill(&start.all, start.burst(b.set.FleetSize), b.now, start.warmth, rate)
 	for _, s := range start.cold {
-		start.earn(&s.allowed, mostCredit, b.now, s.warmth(b.now, &b.set), rate)
+		start.refill(&s.bucket, endpointBurst, b.now, s.warmth(b.now, &b.set), rate)
 	}
 }
 
@@ -183,56 +182,56 @@
 	if !s.isCold(b.now, &b.set) {
 		return true
 	}
-	return b.fleet.slowStart.all.credit >= 0 && s.allowed.credit >= -mostAhead && (r.ran() == 0 || s.proven(b.now, r.Class))
+	return b.fleet.slowStart.all.tokens >= 0 && s.bucket.tokens >= -endpointDebt && (r.ran() == 0 || s.proven(b.now, r.Class))
 }
 
-// due is the cold endpoint that a request had best be sent to, where more was saved up for all of
-// them than draws have spent; nil: there is none.
-func (b *Balancer) due(r *request, ok func(*server) bool) (pick *server) {
+// preferredCold is the cold endpoint that a request had best be sent to, where more is available for all
+// of them than draws have used; nil: there is none.
+func (b *Balancer) preferredCold(r *request, ok func(*server) bool) (pick *server) {
 	start := &b.fleet.slowStart
-	waiting := mostWaiting * float64(len(start.cold)) / float64(b.set.FleetSize)
-	if start.all.credit < math.Min(waiting, leastSaved) {
+	waiting := fleetUnused * float64(len(start.cold)) / float64(b.set.FleetSize)
+	if start.all.tokens < math.Min(waiting, leastBurst) {
 		return nil
 	}
 	for _, s := range start.cold {
-		if s.chance <= 0 || s.allowed.credit < -1 || !s.isCold(b.now, &b.set) || !ok(s) {
+		if s.chance <= 0 || s.bucket.tokens < -1 || !s.isCold(b.now, &b.set) || !ok(s) {
 			continue
 		}
-		if pick == nil || b.rathers(r, s, pick) {
+		if pick == nil || b.prefersCold(r, s, pick) {
 			pick = s
 		}
 	}
 	return pick
 }
 
-// rathers reports whether a request had better go to one cold endpoint than to another: to the one
-// that is due most, but where both are due themselves to the one that ranks first for its key. What
+// prefersCold reports whether a request had better go to one cold endpoint than to another: to the one
+// with more tokens, but where both have some to the one that ranks first for its key. What
 // it guards against: all sidecars sent what had a popular key to the first of all cold endpoints.
-func (b *Balancer) rathers(r *request, s, than *server) bool {
-	if b.set.WarmKeys && r.Key != "" && s.allowed.credit >= 0 && than.allowed.credit >= 0 {
+func (b *Balancer) prefersCold(r *request, s, than *server) bool {
+	if b.set.WarmKeys && r.Key != "" && s.bucket.tokens >= 0 && than.bucket.tokens >= 0 {
 		return keyRank(r.key, s) > keyRank(r.key, than)
 	}
-	return s.allowed.credit > than.allowed.credit
+	return s.bucket.tokens > than.bucket.tokens
 }
 
-// spend takes an attempt into what its endpoint is due.
-func (b *Balancer) spend(r *request, s *server) {
+// charge takes the tokens of an attempt.
+func (b *Balancer) charge(r *request, s *server) {
 	if s.isCold(b.now, &b.set) {
 		work := b.relativeWork(r)
-		s.allowed.credit -= work
-		b.fleet.slowStart.all.credit -= work
+		s.bucket.tokens -= work
+		b.fleet.slowStart.all.tokens -= work
 	}
 }
 
-// answered takes an answer into what cold endpoints are due.
-func (b *Balancer) answered(r *request, by *server) {
+// refillByAnswer adds what an answer earns.
+func (b *Balancer) refillByAnswer(r *request, by *server) {
 	work := b.relativeWork(r)
 	b.fleet.slowStart.answered += work
 	if by.isCold(b.now, &b.set) {
 		all := &b.fleet.slowStart.all
-		earned := math.Min(b.set.provenPart(), math.Max(1+growth-all.part, 0)) * work
-		by.allowed.credit = math.Min(by.allowed.credit+earned, mostCredit)
-		all.credit = math.Min(all.credit+earned, b.fleet.slowStart.most(b.set.FleetSize))
+		earned := math.Min(b.set.provenPart(), math.Max(1+growth-all.rate, 0)) * work
+		by.bucket.tokens = math.Min(by.bucket.tokens+earned, endpointBurst)
+		all.tokens = math.Min(all.tokens+earned, b.fleet.slowStart.burst(b.set.FleetSize))
 	}
 }
 
@@ -240,7 +239,7 @@
 // none. A cold one that is held back answers in time, and what is admitted more goes to the others: it counts where
 // there are next to no others.
 func (b *Balancer) tellsOfRoom(s *server) bool {
-	return !s.isCold(b.now, &b.set) || b.fleet.slowStart.alone > mostlyAlone
+	return !s.isCold(b.now, &b.set) || b.fleet.slowStart.coldShare > mostlyCold
 }
 
 // relativeWork is a request's work over the mean.
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -255,12 +255,12 @@
 	list := fleetOf(2)
 	list[1].Started = time.Hour
 	b.Endpoints(time.Hour, list, true)
-	b.fleet.slowStart.all.credit = 0
+	b.fleet.slowStart.all.tokens = 0
 	held := b.Request(time.Hour, Request{ID: 1, Left: 200 * ms})
 	if len(b.waiting) != 1 {
 		t.Fatalf("%v: nothing waits for probes", held)
 	}
-	b.fleet.slowStart.all.credit = -1
+	b.fleet.slowStart.all.tokens = -1
 	b.Probed(time.Hour+ms, ProbeResult{Endpoint: list[0].ID, Report: []float64{100, 3}})
 	for _, a := range b.Probed(time.Hour+ms, ProbeResult{Endpoint: list[1].ID, Report: []float64{100, 0}}) {
 		if s, ok := a.(Send); ok && s.Endpoint == list[0].ID {
@@ -287,8 +287,8 @@
 		b.Endpoints(time.Hour, list, true)
 		b.refresh(0)
 		r := &request{Request: Request{Key: "popular"}, key: hashKey("popular")}
-		b.fleet.slowStart.all.credit = mostCredit
-		first[b.due(r, func(*server) bool { return true }).ID]++
+		b.fleet.slowStart.all.tokens = endpointBurst
+		first[b.preferredCold(r, func(*server) bool { return true }).ID]++
 	}
 	for id, n := range first {
 		if n > 25 {
