broker: a service that nothing is out at is asked, however little it is taken for

A capacity that was taken for far too little stayed so: in virtual time a service that answers everything in 2 ms, taken for 0.05 s of work a second, refused 1,981 of 1,985 requests and up to all of them from the fifth to the tenth second, where the work of a request was 0.2 or 2 s (12 of 24 cases).

Cause: an estimate is raised by windows that are judged, and a window with less than an answer in 2 s is thrown away as one in which the process stood still (capacity.ended). Where so little is let in no window ever counts, and nothing but a restart ended it.

A request that would be refused for its share is let in where nothing has been out for 0.1 s, and from then on the capacity is sought as after a guess. Shares between teams are kept as before where anything is out.

TestCapacityTakenTooLow failed before, and passed 200 times with -race.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -266,7 +266,7 @@
 		return Ticket{}, Verdict{Kind: OverRate, After: wait}
 	}
 	within := b.capacity.tight && b.shares.asks(&a.share, b.capacity.owedRate(), work)
-	if wait := b.overShare(a); wait > 0 && !within {
+	if wait := b.overShare(a); wait > 0 && !within && !b.capacity.idle(b.now) {
 		b.capacity.refused = true
 		return Ticket{}, Verdict{Kind: OverShare, After: wait}
 	}
--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -23,6 +23,7 @@
 	guess    bool          // nothing is known, but that it may be too much: the first window tells
 	heldUp   time.Duration // when this process was last held up; what began before tells nothing
 	blind    time.Duration // since when no window could be judged for that; -1: it could
+	emptied  time.Duration // when the last attempt that was out ended
 	crowded  time.Duration // since when a crowd is out without an end
 	seeking  bool          // since then nothing has waited
 	tight    bool          // there is too little for all: shares are enforced
@@ -85,6 +86,16 @@
 	return capacity{estimate: math.Inf(1), opened: now, heldUp: math.MinInt64, blind: -1, classes: make([]usual, classes)}
 }
 
+// idle reports that nothing has been out for a while, though it was asked for: there is
+// more than it is taken for, and how much is sought.
+func (c *capacity) idle(now time.Duration) bool {
+	if c.attempts > 0 || now-c.emptied < window {
+		return false
+	}
+	c.seeking = true
+	return true
+}
+
 // rate is the work a second that may be admitted now.
 func (c *capacity) rate() float64 {
 	if !c.tight {
@@ -143,7 +154,7 @@
 // which nothing waited: there is no queue.
 func (c *capacity) ended(now time.Duration, t *Ticket, e Ending, elapsed, aim time.Duration) (empty bool) {
 	if c.attempts--; c.attempts <= 0 {
-		c.attempts, c.out = 0, 0 // rounding errors do not pile up
+		c.attempts, c.out, c.emptied = 0, 0, now // rounding errors do not pile up
 	}
 	c.out = math.Max(c.out-t.work, 0)
 	if now-elapsed <= c.heldUp || t.admitted <= c.heldUp { // it waited for this process
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -155,3 +155,21 @@
 		}
 	})
 }
+
+// However low the capacity was taken for, a service that answers at once gets all that is
+// asked for within some seconds.
+func TestCapacityTakenTooLow(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		for _, work := range []float64{0.002, 0.02, 0.2, 2} {
+			r := newRoomy(t, seed, 0, 4*time.Second)
+			r.broker.work[0], r.broker.work[1] = mean{work, 1}, mean{work, 1}
+			r.broker.capacity.estimate = leastRate
+			r.broker.capacity.tighten()
+			r.run(5 * time.Second)
+			r.asked, r.refused = 0, 0
+			if r.run(10 * time.Second); r.refused > 0 {
+				t.Errorf("%d of %d requests of %v s of work were refused from 5 to 10 s", r.refused, r.asked, work)
+			}
+		}
+	})
+}
