lab/killing: a request that a process dropped before the kill is told

A request that had come to an endpoint and was closed on with no answer by a process that went on counted as one of those without an answer, and was asked again after the kill. The client library hid such drops besides: it sent them again by itself.

Now it is told, by the same times of kills as elsewhere, and TestKilledUnderLoad wants none.

--- a/bench/kill/main.go
+++ b/bench/kill/main.go
@@ -57,6 +57,7 @@
 		{"kills", r.Kills}, {"starts", r.Starts}, {"longest from start to ready", r.LongestToReady}, {"keys sent", r.Keys}, {"requests", r.Asked},
 		{"of keys that had no answer", r.Again}, {"answered", r.Answered}, {"refused", r.Refused}, {"keys found kept by starts", r.Kept}, {"starts that found something damaged", r.Damaged}, {"files with a fault", r.Faulty},
 		{"requests of the team with a rate that ran", r.Metered}, {"keys that ran where a repeat is not dropped", r.Doubled},
+		{"requests that were sent on and had no answer of a process that went on", r.Lost},
 		{"most requests over the team's burst and rate", max(r.OverRate, 0)}, {"requests served by a file with a fault", r.Ghosts},
 	} {
 		fmt.Fprintf(w, "%s\t%v\n", row.name, row.v)
--- a/cmd/spokegw/state_test.go
+++ b/cmd/spokegw/state_test.go
@@ -242,7 +242,7 @@
 		t.Fatal(err)
 	}
 	t.Logf("%+v", r)
-	if r.Doubled > 0 || r.OverRate > 0 || r.Ghosts > 0 || r.Starts != 13 || r.Again == 0 || r.Answered == 0 || r.Metered < 20 || r.Faulty == 0 || r.Kept == 0 {
+	if r.Doubled > 0 || r.Lost > 0 || r.OverRate > 0 || r.Ghosts > 0 || r.Starts != 13 || r.Again == 0 || r.Answered == 0 || r.Metered < 20 || r.Faulty == 0 || r.Kept == 0 {
 		t.Errorf("%+v", r)
 	}
 }
--- a/internal/lab/killing/killing.go
+++ b/internal/lab/killing/killing.go
@@ -46,6 +46,7 @@
 	Answered       int // with 200
 	Refused        int // with 429 or 503
 	Doubled        int // keys that ran in both groups
+	Lost           int // that came to an endpoint and were closed on with no answer, by a process that went on
 	Metered        int // requests that ran of the team with a rate
 	OverRate       int // most of them beyond its burst and rate since the beginning
 	Faulty         int // starts and reloads with a file that is faulty
@@ -87,7 +88,9 @@
 	overRate   int
 	begun      time.Time // the metered team's first request
 
-	keys, ghosts, ids, asked, again, answered, refused atomic.Int64
+	done process.Disturbances // to the processes
+
+	keys, ghosts, ids, asked, again, answered, refused, lost atomic.Int64
 }
 
 // Run plays it.
@@ -245,16 +248,20 @@
 		if round < p.Kills {
 			wait(ctx, time.Duration(5+rng.IntN(80))*time.Millisecond)
 			if p.Clean {
+				p.done.Begins(process.Told)
 				proc.Signal(syscall.SIGTERM)
 			} else {
+				p.done.Begins(process.Killed)
 				proc.Kill()
 			}
 			r.Kills++
 		} else {
 			wait(ctx, 2*deadline) // what was open at the last kill is asked for again
+			p.done.Begins(process.Killed)
 			proc.Kill()
 		}
 		<-proc.Ended
+		p.done.HasEnded()
 		stop()
 		going.Wait()
 		if spoilt != nil {
@@ -265,6 +272,7 @@
 	defer p.mu.Unlock()
 	r.Keys, r.Asked, r.Again = int(p.keys.Load()), int(p.asked.Load()), int(p.again.Load())
 	r.Answered, r.Refused, r.Doubled = int(p.answered.Load()), int(p.refused.Load()), len(p.doubled)
+	r.Lost = int(p.lost.Load())
 	r.Metered, r.OverRate, r.Ghosts = p.metered, p.overRate, int(p.ghosts.Load())
 	r.Kept, r.Damaged = p.tally.kept, p.tally.damaged
 	return r, ctx.Err()
@@ -300,7 +308,13 @@
 	}
 	req.Header = p.fields("reporters")
 	req.Header.Set("Idempotency-Key", key)
-	switch send(c, req) {
+	req.GetBody = nil // the client library would send it again by itself
+	begun := time.Now()
+	status, ending := send(c, req)
+	if ending == lab.Broken && p.came(key) && !p.done.Cut(begun, time.Now()) {
+		p.lost.Add(1)
+	}
+	switch status {
 	case http.StatusOK:
 		p.answered.Add(1)
 		return
@@ -319,15 +333,25 @@
 	return http.Header{"Req-Id": {fmt.Sprint(p.Seed, "-", p.ids.Add(1))}, "Req-Owner": {team}, "Req-Deadline": {fmt.Sprintf("%dm", deadline.Milliseconds())}}
 }
 
+// came reports whether a key's request has come to an endpoint.
+func (p *play) came(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, came := p.ran[key]
+	return came
+}
+
 // send sends a request; an answer is known by its status, 0 is none.
-func send(c *http.Client, req *http.Request) int {
+func send(c *http.Client, req *http.Request) (int, lab.Ending) {
 	resp, err := c.Do(req)
 	if err != nil {
-		return 0
+		return 0, lab.EndingOf(err)
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, lab.EndingOf(err)
+	}
+	return resp.StatusCode, lab.Answered
 }
 
 // others ask without end until ctx ends: the team with a rate, and one that no file
@@ -345,7 +369,7 @@
 			panic(err) // a mistake of this package's
 		}
 		req.Header = p.fields(team)
-		if status := send(c, req); team == "ghost" && status == http.StatusOK {
+		if status, _ := send(c, req); team == "ghost" && status == http.StatusOK {
 			p.ghosts.Add(1)
 		}
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -205,7 +205,7 @@
 		r.RetryIn = resp.Header.Get("Retry-After")
 	}
 	r.Took = time.Since(r.At)
-	r.Ending, r.Sends = ending(err), sends.taken()
+	r.Ending, r.Sends = EndingOf(err), sends.taken()
 	if err == nil {
 		r.Status = resp.StatusCode
 	}
--- a/internal/lab/send.go
+++ b/internal/lab/send.go
@@ -53,8 +53,8 @@
 // connection on which it had not answered.
 const closedIdle = "server closed idle connection"
 
-// ending is the one that an error of a client tells of.
-func ending(err error) Ending {
+// EndingOf is the ending that an error of a client tells of.
+func EndingOf(err error) Ending {
 	switch {
 	case err == nil:
 		return Answered
