--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -47,7 +47,6 @@
 	Endpoint
 	inFlight              int
 	listed, probing       bool          // probing: a probe is out
-	refused               bool          // its latest attempt was not connected; what has been since did not answer
 	standing                            // of all classes
 	classes               []standing    // of each: what fails may be one class's alone
 	weight, chance, rank  float64       // w in [0,1] by readiness, cold ramp and health; of one draw: w * p_i*/k_i; scratch of chooseByKey
--- a/policy/request.go
+++ b/policy/request.go
@@ -302,7 +302,6 @@
 	if o.Result == CalledOff || o.Result == NotSent {
 		return
 	}
-	a.server.refused = o.Result == NoConnection || a.server.refused && (o.Result == NoAnswer || o.Result == ConnectionLost)
 	failed, was := o.Result != Served, a.server.healthAt(b.now, r.Class)
 	late := failed || o.Elapsed > b.set.Classes[r.Class].Aim
 	b.fleet.served.value += (indicator(!failed) - b.fleet.served.value) * was * 3 / sampleMemory
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -112,9 +112,7 @@
 			continue
 		}
 		chances += s.chance
-		if !s.refused { // it answers nothing that would count
-			sizes += s.Nominal * s.warmth(now, set)
-		}
+		sizes += s.Nominal * s.warmth(now, set)
 		if s.isCold(now, set) {
 			coldChances += s.chance
 			f.slowStart.cold = append(f.slowStart.cold, s)
@@ -128,7 +126,7 @@
 		warm := s.warmth(now, set)
 		start.refill(&s.bucket, endpointBurst, now, warm, 0)
 		byChance := emptier / (1 + warm) * s.chance / math.Max(chances, math.SmallestNonzeroFloat64)
-		bySize := set.gain() * s.Nominal * warm / math.Max(sizes, s.Nominal*warm)
+		bySize := set.gain() * s.Nominal * warm / sizes
 		s.bucket.rate = math.Min(byChance, bySize) * (1 + growth*start.coldShare)
 		start.all.rate += s.bucket.rate
 		start.warmth += warm
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -137,6 +137,8 @@
 	decline bool // the endpoints that are warm decline one request in three
 	down    bool // half of the warm endpoints refuse connections from the burst on
 	noWarm  bool // all endpoints are cold
+	// refuses tells whether the k-th of so many warm endpoints refuses the connections of a sidecar.
+	refuses func(sidecar, k, warm int, since time.Duration) bool
 }{
 	"steady":                  {load: loadOf(0.6, 0.6)},
 	"a burst":                 {load: loadOf(0.6, 1)},
@@ -148,6 +150,15 @@
 	"all are cold, a burst":   {load: loadOf(0.6, 1.8), noWarm: true},
 	"all are cold, too much":  {load: loadOf(1.8, 1.8), noWarm: true},
 	"quiet and then too much": {load: loadOf(0.05, 1.8)},
+	"each reaches one, too much": {load: loadOf(1.8, 1.8), refuses: func(sidecar, k, warm int, _ time.Duration) bool {
+		return k != sidecar%warm
+	}},
+	"each reaches a third, a burst": {load: loadOf(0.6, 1.8), refuses: func(sidecar, k, _ int, _ time.Duration) bool {
+		return (sidecar+k)%3 > 0
+	}},
+	"none is reached for 2 s, a burst": {load: loadOf(0.6, 1.8), refuses: func(_, _, _ int, since time.Duration) bool {
+		return since >= 3500*time.Millisecond && since < 5500*time.Millisecond
+	}},
 }
 
 // loadOf is a load that is another from 5 to 8 s.
@@ -181,9 +192,14 @@
 
 // failWarm has attempts on warm endpoints end after a millisecond where fails tells so.
 func (c *coldFleet) failWarm(result Result, fails func(EndpointID) bool) {
+	c.failWarmOf(result, func(_ int, id EndpointID) bool { return fails(id) })
+}
+
+// failWarmOf is failWarm where it goes by the sidecar, too.
+func (c *coldFleet) failWarmOf(result Result, fails func(int, EndpointID) bool) {
 	send := c.attempt
 	c.attempt = func(i int, a Send) {
-		if c.started[a.Endpoint] > 0 || !fails(a.Endpoint) {
+		if c.started[a.Endpoint] > 0 || !fails(i, a.Endpoint) {
 			send(i, a)
 			return
 		}
@@ -219,6 +235,11 @@
 	if scene.down {
 		c.failWarm(NoConnection, func(id EndpointID) bool { return id%2 == 0 && c.now >= time.Hour+5*time.Second })
 	}
+	if scene.refuses != nil {
+		c.failWarmOf(NoConnection, func(i int, id EndpointID) bool { // two of five are cold
+			return scene.refuses(i, int(id)/5*3+int(id)%5-2, endpoints*3/5, c.now-time.Hour)
+		})
+	}
 	c.runAt(func(since time.Duration) float64 { return scene.load(since) * c.capacity(c.now) }, 10*time.Second)
 	return c
 }
