policy: what cold endpoints are overdue with is no pressure either

The same question is asked where an attempt is found overdue. TestOverdueColdEndpointsAreNoPressure failed before (0.34 of pressure for 0.00).

--- a/policy/request.go
+++ b/policy/request.go
@@ -195,7 +195,9 @@
 	for i := 0; r != nil && !r.streamed && i < len(r.attempts); i++ { // what streams is on its way
 		if a := &r.attempts[i]; a.open && !a.late && b.now >= a.due {
 			a.late = true
-			b.adm.outcome(b.now, true, a.server.healthAt(b.now, r.Class))
+			if b.tellsOfRoom(a.server) {
+				b.adm.outcome(b.now, true, a.server.healthAt(b.now, r.Class))
+			}
 			b.fleet.observe(a.server, r.Class, b.now, a.server.lateKeeps(b.now, r.Class))
 			again = again && (r.Cost > 0 || a.sent >= a.server.through) && (b.now-a.sent).Seconds() > silentAfter*(2-indicator(r.Cost > 0))*b.expected(r) &&
 				(r.deadline()-b.now).Seconds() > retryNeeds*b.expected(r) && b.attempt(r)
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -376,3 +376,33 @@
 		t.Errorf("%.2f of the requests are admitted, with every answer prompt", b.adm.level)
 	}
 }
+
+// What a cold endpoint answers in time doesn't count, but what it is overdue with did: slow cold ones alone were pressure.
+func TestOverdueColdEndpointsAreNoPressure(t *testing.T) {
+	pressure := func(overdue bool) (sum float64) {
+		const rounds = 200
+		b := halfCold(t, 5)
+		for i := range rounds {
+			b.now += 100 * ms
+			b.refresh(0)
+			if overdue {
+				cold := b.fleet.servers[i%5]
+				r := &request{Request: Request{Left: time.Second}, arrived: b.now - 75*ms}
+				r.attempts = []attempt{{server: cold, sent: b.now - 75*ms, due: b.now, open: true}}
+				b.overdue(r) // and is answered in time, as are the next:
+				b.learn(r, &r.attempts[0], Outcome{Endpoint: cold.ID, Result: Served, Complete: true, Elapsed: 80 * ms})
+				for range 3 {
+					answerOf(b, cold, 10*ms)
+				}
+			}
+			answerOf(b, b.fleet.servers[5+i%5], 10*ms)
+			sum += b.adm.pressure / rounds
+		}
+		return sum
+	}
+	without, with := pressure(false), pressure(true)
+	t.Logf("pressure %.2f, %.2f without", with, without)
+	if with > without+0.03 {
+		t.Errorf("pressure %.2f, %.2f without what cold endpoints are overdue with", with, without)
+	}
+}
