policy: shedding ends where cold endpoints alone answer, as the others hang

One sidecar before three cold endpoints that answer promptly and seven that hang served 147 of 311 requests of what the cold ones had room for ten times over: their answers told nothing since, and hung ones are drawn as long as their health lasts.

Cold endpoints tell of room, too, where under a tenth of the latest 16 answers came from warm ones.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -29,6 +29,8 @@
 	coldShareOrder = 4.0
 	// mostlyCold is the coldShare from which cold endpoints tell for all: two thirds of the draws are theirs.
 	mostlyCold = 0.2
+	// fewWarm is the part of the latest warmMemory answers below which warm endpoints are taken to hang.
+	fewWarm, warmMemory = 0.1, 16.0
 	// promptPart is the part of a class's aim in which a request is answered where nothing is known.
 	promptPart = 0.25
 	// endpointBurst bounds what is saved up for cold endpoints, in requests of mean work. All sidecars
@@ -59,6 +61,7 @@
 	cold      []*server
 	all       tokenBucket // of all cold endpoints together; its rate is the sum of theirs
 	warmth    float64     // the sum of theirs
+	warmPart  mean        // of the answers, by warm ones
 }
 
 // tokenBucket holds what one cold endpoint may be sent.
@@ -225,6 +228,7 @@
 func (b *Balancer) refillByAnswer(r *request, by *server) {
 	work := b.relativeWork(r)
 	b.fleet.slowStart.answered += work
+	b.fleet.slowStart.warmPart.add(indicator(!by.isCold(b.now, &b.set)), warmMemory)
 	if by.isCold(b.now, &b.set) {
 		all := &b.fleet.slowStart.all
 		earned := math.Min(b.set.provenPart(), math.Max(1+growth-all.rate, 0)) * work
@@ -235,9 +239,10 @@
 
 // tellsOfRoom reports whether an answer of an endpoint tells that the fleet has room for more requests, or that it has
 // none. A cold one that is held back answers in time, and what is admitted more goes to the others: it counts where
-// there are next to no others.
+// there are next to no others, or none of them answers.
 func (b *Balancer) tellsOfRoom(s *server) bool {
-	return !s.isCold(b.now, &b.set) || b.fleet.slowStart.coldShare > mostlyCold
+	start := &b.fleet.slowStart
+	return !s.isCold(b.now, &b.set) || start.coldShare > mostlyCold || start.warmPart.value < fewWarm
 }
 
 // relativeWork is a request's work over the mean.
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -406,3 +406,38 @@
 		t.Errorf("pressure %.2f, %.2f without what cold endpoints are overdue with", with, without)
 	}
 }
+
+// One sidecar before three cold endpoints that answer promptly and seven that hang: it refused what the cold ones had
+// room for, as their answers tell nothing.
+func TestSheddingEndsWhereTheOthersHang(t *testing.T) {
+	for seed := range uint64(3) {
+		c := newColdFleet(t, 1, 10, seed)
+		c.coldTime, c.least = 200*time.Second, 0.3
+		for i := range c.endpoints {
+			c.started[i], c.endpoints[i].warmth = 0, nil
+			if i < 3 {
+				c.started[i] = c.now + 1
+				c.endpoints[i].warmth = func() float64 { return c.warmth(i, c.now) }
+			}
+		}
+		toldOver(0)(c, t)
+		send := c.attempt
+		c.attempt = func(i int, a Send) {
+			if c.started[a.Endpoint] > 0 || c.now < time.Hour+5*time.Second {
+				send(i, a)
+				return
+			}
+			key := [2]int{i, int(a.Request)}
+			n := c.attempts[key]
+			c.attempts[key]++
+			c.after(a.Timeout, func() {
+				_, still := c.class[key]
+				c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: NoAnswer, Complete: !still, Elapsed: a.Timeout}))
+			})
+		}
+		c.run(5, time.Minute) // the cold ones can do 60 a second
+		if served, asked := c.served[0]+c.served[1], c.asked[0]+c.asked[1]; float64(served) < 0.75*float64(asked) {
+			t.Errorf("seed %d: %d of %d served, %v refused", seed, served, asked, c.refused)
+		}
+	}
+}
