lab: a keyed request asks again by each connection that rests, not one

The client had sent its request by a resting connection that the gateway closed with nothing read, and then by the next one, which it closed, too. One more try was all that Load.Again stood for; net/http, which did this until keyed requests were kept from it, goes on until a connection is new.

A request is sent again as long as the connection that ended had been made before it, and Again has it so. TestLoadAsksAgainByEachRestingConnection failed before, and passed 200 times with -race.

--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -30,7 +30,7 @@
 	Keyed   bool
 	Headers http.Header // more of them, or others
 	Idle    int         // connections that may rest; 0: 64
-	// Again tells of a keyed request, by its id and when it was sent, whose connection ended with
+	// Again tells of a keyed request, by its id and when it was sent, whose resting connection ended with
 	// no answer, whether its gateway had not read it: then it is sent once more. nil: none is.
 	Again  func(id string, sent time.Time) bool
 	Traced bool // results tell of the sends
@@ -210,11 +210,12 @@
 	req := l.Request(ctx, addr)
 	r := Result{ID: req.Header.Get("Req-Id"), At: time.Now(), Cost: l.Cost}
 	var sends sends
-	if l.Traced {
+	if l.Traced || l.Again != nil {
 		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sends.got}))
 	}
 	resp, err := client.Do(req)
-	if err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && l.Again(r.ID, r.At) {
+	// There may be several resting connections, which a gateway that ends closes all at once.
+	for tries := 1; err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && sends.byResting(tries, r.At) && l.Again(r.ID, r.At); tries++ {
 		req.Body, _ = req.GetBody()
 		resp, err = client.Do(req)
 	}
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -72,3 +74,31 @@
 		}
 	}
 }
+
+// A gateway that ends closes all connections that rest, unread: a request that met two of them in turn had no answer.
+func TestLoadAsksAgainByEachRestingConnection(t *testing.T) {
+	var met, ended sync.WaitGroup
+	met.Add(2)
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch n := requests.Add(1); {
+		case n <= 2: // two connections are made
+			met.Done()
+			met.Wait()
+		case n <= 4:
+			panic(http.ErrAbortHandler) // as one that closes with nothing read
+		}
+	}))
+	defer server.Close()
+	load := &Load{Method: http.MethodPost, Path: "/status-report", Keyed: true, Give: 10 * time.Second, Again: func(string, time.Time) bool { return true }}
+	client := load.client()
+	defer client.CloseIdleConnections()
+	addr := server.Listener.Addr().String()
+	for range 2 {
+		ended.Go(func() { load.ask(client, addr) })
+	}
+	ended.Wait()
+	if r := load.ask(client, addr); r.Status != http.StatusOK || len(r.Sends) != 3 {
+		t.Errorf("%+v", r)
+	}
+}
--- a/internal/lab/send.go
+++ b/internal/lab/send.go
@@ -49,6 +49,13 @@
 	return s.all
 }
 
+// byResting reports whether a request has been sent so often, the last time by a connection that had been
+// made before the request.
+func (s *sends) byResting(times int, request time.Time) bool {
+	all := s.taken()
+	return len(all) == times && all[times-1].Made.Before(request)
+}
+
 // closedIdle is the text of an error that package http has no name for: the other side closed a
 // connection on which it had not answered.
 const closedIdle = "server closed idle connection"
