policy: cold endpoints are sent no more than their part where the others have room

Cause: the budget is also what a cold endpoint gets. Requests are sent to one that has tokens, and it earned them at the same rate however little there was to do: 0.33 to 0.49 of what it can do at a load of 0.30, and it is slower than those that have room.

Where warm endpoints answer, next to all of them in time, answers earn cold ones their part alone, and nothing for their own.

TestColdEndpointsAreSentNoMoreThanTheirPartOfALightLoad failed before.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -175,7 +175,7 @@
 // refresh brings the draw table up to date for a class.
 func (b *Balancer) refresh(class int) {
 	if b.fleet.refresh(b.now, &b.set, class, b.fleetRate(), b.random) {
-		b.fleet.shareOut(b.now, &b.set, b.keepsTo)
+		b.fleet.shareOut(b.now, &b.set, b.gain(), b.keepsTo)
 	}
 }
 
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -10,7 +10,7 @@
 	// budgetUsed is the part of what the settings let a cold endpoint be sent that is meant to be
 	// used, and provenUsed that of it for what the endpoint answers itself. The rest of it is for its
 	// part of what others answer; the rest of the whole is for chance, and for what is measured late.
-	budgetUsed, provenUsed = 0.66, 0.3
+	budgetUsed, provenUsed = 0.8, 0.4
 	// mostProven is the most of a request that a cold endpoint earns by one that it answers. Near 1
 	// it would be sent all that it can do, however little there is to do.
 	mostProven = 0.8
@@ -95,19 +95,28 @@
 func (set *Settings) fallMultiple() float64 { return cmp.Or(set.FallMultiple, defaultFallMultiple) }
 
 // gain is how much more than its part of the requests, by its lowest possible warmth, a cold
-// endpoint may be sent at most.
-func (set *Settings) gain() float64 { return set.fallMultiple()*budgetUsed - set.provenPart() }
+// endpoint may be sent at most. Where the others have room that is no more than its part.
+func (b *Balancer) gain() float64 {
+	used := b.set.fallMultiple() * budgetUsed
+	if b.othersHaveRoom() {
+		return math.Min(used, 1)
+	}
+	return used - b.provenPart()
+}
 
 // provenPart is the part of a request that a cold endpoint earns by one that it answers: it may be
-// warmer than it has to be.
-func (set *Settings) provenPart() float64 {
-	return math.Min(set.fallMultiple()*provenUsed, mostProven)
+// warmer than it has to be. Where the others have room nothing more is wanted of it.
+func (b *Balancer) provenPart() float64 {
+	if b.othersHaveRoom() {
+		return 0
+	}
+	return math.Min(b.set.fallMultiple()*provenUsed, mostProven)
 }
 
 // shareOut sets the parts of the cold endpoints, by their chances and by their sizes among those
 // that own admits, whichever is less. Chances go by health, too: where most others are unhealthy
 // they are no measure of what a cold endpoint can do.
-func (f *fleet) shareOut(now time.Duration, set *Settings, own func(*server) bool) {
+func (f *fleet) shareOut(now time.Duration, set *Settings, gain float64, own func(*server) bool) {
 	var chances, coldChances, sizes float64
 	f.slowStart.cold = f.slowStart.cold[:0]
 	for _, s := range f.servers {
@@ -129,7 +138,7 @@
 		warm := s.warmth(now, set)
 		start.refill(&s.bucket, endpointBurst, now, warm, 0)
 		byChance := emptier / (1 + warm) * s.chance / math.Max(chances, math.SmallestNonzeroFloat64)
-		bySize := set.gain() * s.Nominal * warm / sizes
+		bySize := gain * s.Nominal * warm / sizes
 		s.bucket.rate = math.Min(byChance, bySize) * (1 + growth*start.coldShare)
 		start.all.rate += s.bucket.rate
 		start.warmth += warm
@@ -231,12 +240,17 @@
 	b.fleet.slowStart.warmPart.add(indicator(!by.isCold(b.now, &b.set)), warmMemory)
 	if by.isCold(b.now, &b.set) {
 		all := &b.fleet.slowStart.all
-		earned := math.Min(b.set.provenPart(), math.Max(1+growth-all.rate, 0)) * work
+		earned := math.Min(b.provenPart(), math.Max(1+growth-all.rate, 0)) * work
 		by.bucket.tokens = math.Min(by.bucket.tokens+earned, endpointBurst)
 		all.tokens = math.Min(all.tokens+earned, b.fleet.slowStart.burst(b.set.FleetSize))
 	}
 }
 
+// othersHaveRoom reports whether endpoints that are warm answer, and next to all of them in time.
+func (b *Balancer) othersHaveRoom() bool {
+	return b.calm() && b.fleet.slowStart.warmPart.value >= fewWarm
+}
+
 // tellsOfRoom reports whether an answer of an endpoint tells that the fleet has room for more requests, or that it has
 // none. A cold one that is held back answers in time, and what is admitted more goes to the others: it counts where
 // there are next to no others, or none of them answers.
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -441,3 +441,18 @@
 		}
 	}
 }
+
+// Cold endpoints were sent more than their part of a light load: answers came late from them while the others had room.
+func TestColdEndpointsAreSentNoMoreThanTheirPartOfALightLoad(t *testing.T) {
+	const load = 0.3
+	for _, sidecars := range []int{5, 30, 300} {
+		for seed := range uint64(3) {
+			c := newColdFleet(t, sidecars, 20, seed)
+			toldOver(0)(c, t)
+			c.runAt(func(time.Duration) float64 { return load * c.capacity(c.now) }, 10*time.Second)
+			if part := c.part(time.Hour+2*time.Second, time.Hour+10*time.Second); part > 1.1*load {
+				t.Errorf("%d sidecars: cold endpoints are sent %.2f of what they can do, at a load of %.2f", sidecars, part, load)
+			}
+		}
+	}
+}
