--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -197,7 +197,7 @@
 	{"policy/slowstart.go", "math.Min(b.tokens+earned, burst)", "b.tokens + earned", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "tokens: -random(), ", "tokens: 1, ", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "baseRate * warmth * f.coldShare", "baseRate * warmth * 40", starts, "TestBurstDoesNotPushColdEndpointsOver"},
-	{"policy/slowstart.go", "math.Min(b.set.provenPart(), math.Max(1+growth-all.rate, 0)) * work", "2 * work", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "math.Min(b.provenPart(), math.Max(1+growth-all.rate, 0)) * work", "2 * work", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "fleetBurst/float64(size)", "8+0*float64(size)", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "s.bucket.tokens >= 0 && than.bucket.tokens >= 0", "true", starts, "TestPopularKeyDoesNotPushOneColdEndpointOver"},
 	{"policy/slowstart.go", "	b.fleet.slowStart.answered += work\n", "", starts, "TestManyMeetReplacedEndpoints"},
