front/http1: a new connection's first request is read as its silence is over

Clients met a reset where the first request of a connection came as the 2.5 s were over that a silent one may take, or as the connection was called off to make an end.

Cause: reading ends by its timer, and what waits in the socket by then is read once more only where the connection had had an answer before, or where the timer was 50 ms late. A client's pool holds connections that it opened and has not used yet; the first request on one of these was closed over unread. Beside a load of 155 on 8 cores the same showed with nothing that stood still: a connection begun 2.5 s earlier ended as its request was sent.

Now what waits is read wherever nothing of a request has come yet. A slow sender gains nothing by it: from its first byte on it has its time, as before.

The two new cases of TestRequestAsARestEnds failed before (read "", i/o timeout).

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -83,11 +83,11 @@
 }
 
 // received reads, and once more what waits on the connection where reading ended since
-// the process slept, or as a connection that rested was to end: closed over a request that
+// the process slept, or as a connection without a request was to end: closed over one that
 // waits it would be reset.
 func (c *clientConn) received(read func() (int, error)) (int, error) {
 	n, err := read()
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.stalled() || c.resting.Load() && c.readable()) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.stalled() || c.awaitsRequest() && c.readable()) {
 		n, err = c.readWaiting(read)
 	}
 	if n > 0 {
@@ -96,6 +96,10 @@
 	return n, err
 }
 
+// awaitsRequest reports whether nothing of a request has come since the connection was opened or had
+// its latest answer.
+func (c *clientConn) awaitsRequest() bool { return c.resting.Load() || !c.heard.Load() }
+
 // came notes that something has been read: the connection does not end now, if
 // it was to.
 func (c *clientConn) came() {
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -208,14 +208,21 @@
 	}
 }
 
-// A request that is there as its connection is to end, since it has rested for long enough
-// or is called off, is read: closing over it would reset the connection.
+// A request that is there as its connection is to end, since it has rested or been silent for
+// long enough or is called off, is read: closing over it would reset the connection.
 func TestRequestAsARestEnds(t *testing.T) {
-	for name, end := range map[string]func(c *clientConn){
-		"it has rested": func(c *clientConn) { c.SetReadDeadline(front.At(front.Now() - time.Millisecond)) },
-		"called off":    func(c *clientConn) { c.callOff() },
+	timesOut := func(c *clientConn) { c.SetReadDeadline(front.At(front.Now() - time.Millisecond)) }
+	for _, of := range []struct {
+		name  string
+		heard bool // it has had an answer; else this is its first request
+		end   func(*clientConn)
+	}{
+		{"it has rested", true, timesOut},
+		{"it rests and is called off", true, (*clientConn).callOff},
+		{"it has been silent", false, timesOut},
+		{"it is silent and is called off", false, (*clientConn).callOff},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(of.name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -232,13 +239,13 @@
 			}
 			defer nc.Close()
 			c := newConnTable(1, 1).add(nc.(*net.TCPConn))
-			c.heard.Store(true)
-			c.resting.Store(true)
+			c.heard.Store(of.heard)
+			c.resting.Store(of.heard)
 			io.WriteString(client, tile("one"))
 			for !c.readable() {
 				runtime.Gosched()
 			}
-			end(c)
+			of.end(c)
 			buf := make([]byte, 4096)
 			n, err := c.receive(buf)
 			if string(buf[:n]) != tile("one") || err != nil {
