policy: tests write attempts that end after a time once

slowstart_test.go had it twice how an attempt ends after a time with no work done for it: for warm endpoints that fail after a millisecond, and for some that hang until the attempt is over. Both now call coldFleet.endsAfter.

--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -203,16 +203,21 @@
 			send(i, a)
 			return
 		}
-		key := [2]int{i, int(a.Request)}
-		n := c.attempts[key]
-		c.attempts[key]++
-		c.after(time.Millisecond, func() {
-			_, still := c.class[key]
-			c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: result, Complete: !still, Elapsed: time.Millisecond}))
-		})
+		c.endsAfter(time.Millisecond, i, a, result)
 	}
 }
 
+// endsAfter has an attempt of a sidecar end after a time, and its endpoint do nothing for it.
+func (c *coldFleet) endsAfter(elapsed time.Duration, i int, a Send, result Result) {
+	key := [2]int{i, int(a.Request)}
+	n := c.attempts[key]
+	c.attempts[key]++
+	c.after(elapsed, func() {
+		_, still := c.class[key]
+		c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: result, Complete: !still, Elapsed: elapsed}))
+	})
+}
+
 // playCold plays a scene and returns the fleet as it was at the end.
 func playCold(t *testing.T, name string, sidecars int, seed uint64) *coldFleet {
 	scene := coldScenes[name]
@@ -427,13 +432,7 @@
 				send(i, a)
 				return
 			}
-			key := [2]int{i, int(a.Request)}
-			n := c.attempts[key]
-			c.attempts[key]++
-			c.after(a.Timeout, func() {
-				_, still := c.class[key]
-				c.carryOut(i, c.sidecars[i].Outcome(c.now, Outcome{Request: a.Request, Attempt: n, Endpoint: a.Endpoint, Result: NoAnswer, Complete: !still, Elapsed: a.Timeout}))
-			})
+			c.endsAfter(a.Timeout, i, a, NoAnswer)
 		}
 		c.run(5, time.Minute) // the cold ones can do 60 a second
 		if served, asked := c.served[0]+c.served[1], c.asked[0]+c.asked[1]; float64(served) < 0.75*float64(asked) {
