core: tests write once how the first attempt waits for its disk

TestFirstAttemptIsTheRepeat and TestNothingIsSentAfterTheAnswer had the same set-up of the service's disk, word for word. Both now call firstWaits. No check is changed.

--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -91,6 +91,22 @@
 	return answered
 }
 
+// firstWaits has the first attempt of a service wait for its disk until goesOn is closed, and
+// no other. waits is closed when it does.
+func firstWaits(s *Service) (waits, goesOn chan struct{}) {
+	waits, goesOn = make(chan struct{}), make(chan struct{})
+	s.OnDurable(func(context.Context, keyed.Note) error {
+		select {
+		case <-waits: // the hedged one does not wait
+		default:
+			close(waits)
+			<-goesOn
+		}
+		return nil
+	})
+	return waits, goesOn
+}
+
 // leaves is a client that closes its connection, which nobody tells.
 type leaves struct{ atomic.Bool }
 
@@ -177,16 +193,7 @@
 	first, came := silent(t)
 	second, cameToo := silent(t)
 	c, s := orders(t, window, 10*time.Millisecond, first, second)
-	waits, goesOn := make(chan struct{}), make(chan struct{})
-	s.OnDurable(func(_ context.Context, n keyed.Note) error {
-		select {
-		case <-waits: // the hedged one does not wait
-		default:
-			close(waits)
-			<-goesOn
-		}
-		return nil
-	})
+	waits, goesOn := firstWaits(s)
 	x := openOrder(t, c, "1", nil)
 	answered := do(x)
 	<-waits
@@ -228,16 +235,7 @@
 		if err := s.balancer.Retune(s.settled.policy); err != nil {
 			t.Fatal(err)
 		}
-		waits, goesOn := make(chan struct{}), make(chan struct{})
-		s.OnDurable(func(context.Context, keyed.Note) error {
-			select {
-			case <-waits: // the hedged one does not wait
-			default:
-				close(waits)
-				<-goesOn
-			}
-			return nil
-		})
+		waits, goesOn := firstWaits(s)
 		x := openOrder(t, c, "1", nil)
 		answered := do(x)
 		<-waits
