--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,14 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
 	"reflect"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"spokegw/internal/broker"
 	"spokegw/internal/budget"
@@ -27,36 +23,6 @@
 	"spokegw/internal/state/keeper"
 )
 
-// How the descriptors that a sidecar may hold are shared out: the application
-// and the endpoints get their parts, and what is left is for discovery, the
-// listener, the standard streams and the runtime.
-const (
-	clientPart   = 0.55
-	crowdPart    = 0.16 // half of what the application may hold for requests
-	upstreamPart = 0.37
-	// ownSockets are for what is left, at least: a dozen of the runtime, the log and the
-	// listeners, four for discovery as it moves, and four for operators who ask.
-	ownSockets = 20
-	minSockets = 32
-)
-
-// How the memory is shared out. The part that the collector keeps below
-// leaves room for what it does not count; bodies may take parts of that. The
-// least is what the runtime needs by itself and a little more: a sidecar that
-// refuses to start is worth less than one that is short of memory.
-const (
-	heapPart    = 0.7
-	bodyPart    = 0.2
-	http3Part   = 0.1  // for what HTTP/3 clients may send ahead
-	longPart    = 0.15 // for answers that are longer than the protocol has them
-	minMemoryMB = 16
-)
-
-const sweepPeriod = time.Second
-
-// http3Front is the number of the front for HTTP/3; that for HTTP/1.1 is 0.
-const http3Front = 1
-
 // budgets are what all services have together.
 type budgets struct{ slots, long, bodies, places *budget.Budget }
 
@@ -160,135 +126,6 @@
 	return s.listenHTTP1(longest)
 }
 
-// listenHTTP1 opens the address that clients come to, where the process before this one has
-// not handed it over. It is the last that may fail: another process may have the address
-// open too, and of clients some come to this one from then on.
-func (s *Sidecar) listenHTTP1(longest time.Duration) (err error) {
-	c := &s.config
-	limit, crowd := s.places(s.upgrade.part())
-	front := http1.Config{Door: s.brake.door(), Listen: c.Listen, Shared: s.upgrade.listener(), Limit: limit, Crowd: crowd, Longest: longest}
-	if c.Operator != nil {
-		front.Pipelining = c.Operator.HTTP1.Pipelining
-	}
-	if s.front, err = http1.Listen(front, s.core); err != nil {
-		if s.shared != nil {
-			s.shared.close()
-		}
-		return err
-	}
-	if s.http3 != nil {
-		s.front.SetAltSvc(s.http3.AltSvc())
-	}
-	return nil
-}
-
-// listenMetrics opens the address that tells the figures to Prometheus; nil where
-// it is off.
-func (s *Sidecar) listenMetrics() (*metrics.Server, error) {
-	if s.config.Operator == nil || s.config.Operator.Metrics == "" {
-		return nil, nil
-	}
-	return metrics.Listen(s.config.Operator.Metrics, s.figures, s.members, s.fleetNow)
-}
-
-// serveMetrics tells the figures until ctx ends, once the process before this
-// one no longer does.
-func (s *Sidecar) serveMetrics(ctx context.Context) {
-	server := s.metrics
-	if server == nil && s.upgrade.predecessor != nil {
-		err := s.afterPredecessor(ctx, func() (err error) {
-			server, err = s.listenMetrics()
-			return err
-		})
-		if err != nil {
-			slog.Error("no metrics: their address is not free", "error", err)
-		}
-	}
-	if server != nil {
-		server.Serve(ctx)
-	}
-}
-
-// addressPatience is how long an address may stay in use by a process that has
-// ended.
-const addressPatience = 2 * time.Second
-
-// afterPredecessor opens an address that is not handed over, when the process
-// before this one has ended. If ctx ends before that it does nothing.
-func (s *Sidecar) afterPredecessor(ctx context.Context, open func() error) (err error) {
-	select {
-	case <-s.upgrade.ended:
-	case <-ctx.Done():
-		return nil
-	}
-	for until := time.Now().Add(addressPatience); ; {
-		if err = open(); err == nil || time.Now().After(until) {
-			return err
-		}
-		select {
-		case <-time.After(addressPatience / 40):
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// listenHTTP3 opens the address of the front for HTTP/3; nil where it is off.
-func (s *Sidecar) listenHTTP3() (*http3.Server, error) {
-	if s.config.Operator == nil || s.config.Operator.HTTP3 == nil {
-		return nil, nil
-	}
-	h := s.config.Operator.HTTP3
-	var routing *http3.Routing
-	if r := h.Routing; r != nil {
-		routing = &http3.Routing{Config: r.Config, Server: r.Server, Nonce: r.Nonce, Key: r.Key}
-	}
-	return http3.Listen(http3.Config{
-		Listen: h.Listen, Certificate: h.Certificate, Key: h.Key, Connections: h.Connections, Streams: h.Streams,
-		StreamWindow: h.StreamWindow, ConnectionWindow: h.ConnectionWindow, MaxHead: h.MaxHead,
-		Front: http3Front, Handshake: h.Handshake, Idle: h.Idle, Resets: h.Resets, Unvalidated: h.Unvalidated, Routing: routing, Secret: s.config.Name,
-	}, s.core)
-}
-
-// serveHTTP3 serves HTTP/3, where it is on, until ctx ends. Its address can't be
-// handed over: the connections are in the memory of the process before this one,
-// which ends them as it stops.
-func (s *Sidecar) serveHTTP3(ctx context.Context) error {
-	server := s.frontHTTP3()
-	if server == nil && s.upgrade.predecessor != nil {
-		err := s.afterPredecessor(ctx, func() (err error) {
-			server, err = s.listenHTTP3()
-			return err
-		})
-		if err != nil { // HTTP/1.1 is served all the same
-			slog.Error("no HTTP/3: its address is not free", "error", err)
-			return nil
-		}
-		s.mu.Lock()
-		s.http3 = server
-		s.mu.Unlock()
-	}
-	if server == nil {
-		return nil
-	}
-	s.front.SetAltSvc(server.AltSvc())
-	return server.Serve(ctx)
-}
-
-func (s *Sidecar) frontHTTP3() *http3.Server {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.http3
-}
-
-// AddrHTTP3 is where the sidecar listens for HTTP/3; nil: it does not.
-func (s *Sidecar) AddrHTTP3() net.Addr {
-	if server := s.frontHTTP3(); server != nil {
-		return server.Addr()
-	}
-	return nil
-}
-
 // plan makes the services of an operator's file, out of those there are where
 // they stay. Without a file there is the platform's own.
 func (s *Sidecar) plan(f *operator.File) (services []*running, err error) {
@@ -336,27 +173,6 @@
 // Addr is where the sidecar listens.
 func (s *Sidecar) Addr() net.Addr { return s.front.Addr() }
 
-// ApplyLimits sets what the runtime may use. It is for the whole process.
-func ApplyLimits(l Limits) {
-	limitMemory(l, 1)
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-}
-
-// limitMemory has the collector keep the process to its part of the memory.
-func limitMemory(l Limits, part float64) {
-	debug.SetMemoryLimit(int64(part * heapPart * float64(l.MemoryMB<<20)))
-	debug.SetGCPercent(int(min(max(part*float64(l.MemoryMB)*gcPerMB, leastGC), mostGC)))
-}
-
-// How much the heap may grow between two collections, in percent: the collector
-// takes a good part of a small processor, and with memory to spare it need not
-// run ten times a second. The limit above goes before it.
-const (
-	gcPerMB = 5.0
-	leastGC = 100
-	mostGC  = 400
-)
-
 // Run serves until ctx ends, then finishes what it has taken.
 func (s *Sidecar) Run(ctx context.Context) error {
 	watching, stopWatch := context.WithCancel(context.Background())
@@ -484,53 +300,3 @@
 	slog.Info("operator's file taken over", "services", len(services), "teams", len(f.Teams))
 	return nil
 }
-
-func (s *Sidecar) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepPeriod)
-	defer tick.Stop()
-	for n := 1; ; n++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.sweepOnce()
-			s.tickMoves()
-			s.retryKeys()
-			if n%imageEvery == 0 {
-				s.keepImage(false)
-			}
-		}
-	}
-}
-
-// Retired counts the services that have gone and still have something open.
-func (s *Sidecar) Retired() int {
-	s.sweepOnce()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.retired)
-}
-
-func (s *Sidecar) sweepOnce() {
-	s.front.Sweep()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.services {
-		r.pool.Sweep()
-	}
-	var left []*running
-	for _, r := range s.retired {
-		if r.pool.Sweep(); r.pool.Open() > 0 {
-			left = append(left, r)
-		}
-	}
-	s.retired = left
-}
-
-// tickMoves lets time pass for the moves, and keeps where they are.
-func (s *Sidecar) tickMoves() {
-	for _, r := range s.running() {
-		r.service.TickMoves()
-	}
-	s.keepMoves()
-}
