handover: processes of an upgrade know each other's keys before they send

A client that asked both processes of an upgrade for one key, with key_scope cell or zone, had it run in two cells.

Cause: the word of a key was put in a queue as the attempt was decided, and the attempt did not wait until it was written; the successor read it in a goroutine that no request waited for; and it went one way only. A fourth order, read: with keys = "before" the old process waits until the successor has kept the key, and that says so though it has sent the key elsewhere meanwhile.

Now a process writes the note of a key to the other's socket and then reads what the other has told, both before the first byte of an attempt; and it reads what has been told before it decides. Of two that tell and then look at least one finds the other's key, and does not send to another group. Neither waits for the other: what was written is in the reader's socket though that stands still or its writer was killed, and of a record that has come in part nothing has been sent. So notes of keys are handled by whoever reads them, a request too, and other records by who follows the connection, as before. What can't be told within a second is not sent. A note that comes later goes before an earlier one of which nothing was sent here: the other process may have gone elsewhere after an attempt that never ran.

The forms of records are as they were; a process of an earlier version passes over what its successor tells of keys. core.OnKeyed goes, as nothing is told while a lock is held; the two tests that held up a process there do so by a hook at the same place.

TestTwoProcessesAskedTogether has all orders of the steps of three requests in two processes; it fails if the note is not looked for, if what is known goes before it, as was, and if nothing ever goes before it.

Open: the first and the last of three processes; processes whose connection is cut while both serve (docs/incidents/repeated-keys.md).

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -9,10 +9,43 @@
 	"spokegw/policy"
 )
 
-// OnKeyed sets what is told of every keyed request that is sent, while it may
-// matter to another process. It is to be set before the first request, and must
-// not wait.
-func (s *Service) OnKeyed(tell func(keyed.Note)) { s.onKeyed = tell }
+// Peers are the other processes that clients of this one come to as well.
+type Peers interface {
+	// Any reports whether there are some, or were.
+	Any() bool
+	// Tell has them know of a key. When it returns without an error each of them finds that as it
+	// catches up, whatever becomes of this process.
+	Tell(keyed.Note) error
+	// CatchUp has all adopted that they have told by now. It does not wait for them.
+	CatchUp() error
+}
+
+// UsePeers sets the other processes. It is to be set before the first request.
+func (s *Service) UsePeers(p Peers) { s.peers = p }
+
+// catchUp has a request decided on by what other processes have told of its key.
+func (s *Service) catchUp(c *call) {
+	if c.keyed && s.peers != nil && s.peers.Any() {
+		s.peers.CatchUp() // where it can't, the attempt is not claimed
+	}
+}
+
+// claim reports whether an attempt may be made though other processes may make one of its key.
+// Each tells of its own before it looks for those of the others: of two, one at least finds the
+// other's, and gives way.
+func (s *Service) claim(a *attempt) bool {
+	if a.note == nil || s.peers == nil || !s.peers.Any() {
+		return true
+	}
+	n := *a.note
+	n.Age += time.Since(a.decided)
+	if s.peers.Tell(n) != nil || s.peers.CatchUp() != nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys.Claim(a.call.key, policy.Endpoint{Zone: a.zone, Cell: a.cell})
+}
 
 // pin has a request whose key came before, and may have run, reach only endpoints
 // that drop the repeat.
@@ -54,8 +87,8 @@
 	if !ok {
 		return nil, repeatBy
 	}
-	if s.onKeyed != nil {
-		s.onKeyed(n)
+	if s.testHookNoted != nil {
+		s.testHookNoted()
 	}
 	return &n, repeatBy
 }
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -125,11 +125,11 @@
 	for _, decided := range []bool{false, true} {
 		addr, came := silent(t)
 		c, s := orders(t, time.Minute, 10*time.Second, addr)
-		s.OnKeyed(func(keyed.Note) {
+		s.testHookNoted = func() {
 			if decided {
 				<-time.After(pause)
 			}
-		})
+		}
 		x := openOrder(t, c, "1", nil)
 		x.Came()
 		latest := time.Now().Add(x.request.Left)
@@ -275,7 +275,7 @@
 	const pause = 30 * time.Millisecond
 	addr, came := silent(t)
 	c, s := orders(t, time.Minute, 10*time.Second, addr)
-	s.OnKeyed(func(keyed.Note) { <-time.After(pause) })
+	s.testHookNoted = func() { <-time.After(pause) }
 	age := make(chan time.Duration, 1)
 	s.OnDurable(func(_ context.Context, n keyed.Note) error {
 		age <- n.Age
@@ -290,3 +290,54 @@
 	x.Leave()
 	<-answered
 }
+
+// others is another process that tells what was made of a key after this one has decided on it.
+type others struct {
+	service *Service
+	fails   error
+	told    []keyed.Note
+	asked   int
+}
+
+func (o *others) Any() bool { return true }
+
+func (o *others) Tell(n keyed.Note) error {
+	o.told = append(o.told, n)
+	return o.fails
+}
+
+func (o *others) CatchUp() error {
+	if o.asked++; len(o.told) > 0 {
+		n := o.told[0]
+		n.Cell++
+		o.service.AdoptKey(n)
+	}
+	return nil
+}
+
+// Another process has sent a key elsewhere since this one decided on it, or can't be told of the
+// key: it is not sent here, and the client is refused.
+func TestKeyThatAnotherProcessSends(t *testing.T) {
+	for _, fails := range []error{nil, context.DeadlineExceeded} {
+		addr, came := silent(t)
+		c, s := orders(t, time.Minute, time.Second, addr)
+		s.settled.places[0].rules.Scope = policy.ScopeCell
+		o := &others{service: s, fails: fails}
+		s.UsePeers(o)
+		x := openOrder(t, c, "1", nil)
+		answered := do(x)
+		select {
+		case a := <-answered:
+			if a.Status != http.StatusServiceUnavailable {
+				t.Errorf("answered %d", a.Status)
+			}
+		case <-came:
+			t.Error("it was sent here as well")
+			x.Leave()
+			<-answered
+		}
+		if n := len(o.told); n == 0 || o.asked == 0 {
+			t.Errorf("told %d times, caught up %d times", n, o.asked)
+		}
+	}
+}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -49,13 +49,15 @@
 	lastID    policy.RequestID
 	timers    timers
 	keys      *keyed.Table
-	onKeyed   func(keyed.Note)                        // nil: nobody is told
+	peers     Peers                                   // nil: there are no other processes
 	durable   func(context.Context, keyed.Note) error // nil: nothing waits for a disk
 	pools     pools
 	measured  *measured            // nil: no fleet has weights
 	grace     time.Duration        // for sends to an endpoint that drains, as told at the start
 	delay     func() time.Duration // of this sidecar's own processor; nil: not known
 	stalled   func() time.Duration // the same, for contracts
+
+	testHookNoted func() // called as a key is noted; nil but in tests
 }
 
 // ServiceConfig is what a service is made of.
@@ -145,21 +147,22 @@
 }
 
 type attempt struct {
-	call     *call
-	n        int
-	endpoint policy.EndpointID
-	end      upstream.Ending
-	sent     bool            // it was noted as sent
-	result   upstream.Answer // that the request was answered with
-	outcome  upstream.Answer // of one that the request's own goroutine has made
-	to       upstream.Endpoint
-	note     *keyed.Note
-	decided  time.Time // or a little earlier
-	there    time.Time // when its client was known not to have left
-	until    time.Time // given up then; told at its decision, since some time may pass before it is made
-	repeatBy time.Time // the window for repeats ends then; zero: it is none
-	listing  *listing  // of its endpoint; nil: it is in no list
-	doubt    bool      // an earlier attempt may have run as this one was decided
+	call       *call
+	n          int
+	endpoint   policy.EndpointID
+	end        upstream.Ending
+	sent       bool            // it was noted as sent
+	result     upstream.Answer // that the request was answered with
+	outcome    upstream.Answer // of one that the request's own goroutine has made
+	to         upstream.Endpoint
+	note       *keyed.Note
+	zone, cell int       // of its endpoint
+	decided    time.Time // or a little earlier
+	there      time.Time // when its client was known not to have left
+	until      time.Time // given up then; told at its decision, since some time may pass before it is made
+	repeatBy   time.Time // the window for repeats ends then; zero: it is none
+	listing    *listing  // of its endpoint; nil: it is in no list
+	doubt      bool      // an earlier attempt may have run as this one was decided
 }
 
 // now is the module's clock: Unix time at the start and what has passed since.
@@ -270,6 +273,7 @@
 		keyed: x.keyed, key: x.key, trace: x.trace,
 	}
 	c.attempts = c.room[:0]
+	s.catchUp(c)
 	for next := s.eventOf(c, (*Service).take); next != nil; {
 		next = s.make(next, true)
 	}
@@ -389,6 +393,7 @@
 		}
 		a.listing = known.listing
 		note, a.repeatBy = s.noteSent(c, known)
+		a.zone, a.cell = known.Zone, known.Cell
 		c.trace.sending(a.n, known.name)
 		if c.trace != nil { // the arguments are allocated even where nobody looks on
 			c.tell("sent", "attempt %d to %s, for %v at most", a.n, known.name, to.Timeout.Round(time.Millisecond))
@@ -433,6 +438,10 @@
 		result = upstream.Answer{Result: policy.NotSent, Refused: a.notKept()} // nobody would know of it after a kill
 		return nil
 	}
+	if !s.claim(a) {
+		result = upstream.Answer{Result: policy.NotSent, Refused: permit.EffectInDoubt} // another process may have sent it elsewhere
+		return nil
+	}
 	result, more = s.pool.Begin(&a.end, a.to, c.req, upstream.Terms{Until: a.until, RepeatBy: a.repeatBy, Gate: a}, a)
 	return nil
 }
--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,9 @@
 	busyPause   = 50 * time.Millisecond
 	// latePatience is for what has come already when the time for it is over.
 	latePatience = 20 * time.Millisecond
+	// writeRoom is for what is told to a process that stands still, in bytes, some 550 notes of keys:
+	// the system gives half of it by itself.
+	writeRoom = 208 << 10
 	// relayPatience is for the successor to take a record. One that hangs is as
 	// good as gone: it reads all the time otherwise.
 	relayPatience = time.Second
@@ -53,6 +57,7 @@
 // peer is a connection to another process.
 type peer struct {
 	conn *net.UnixConn
+	in   *inbox
 	mu   sync.Mutex // of writing
 }
 
@@ -72,7 +77,32 @@
 	if int(cred.Uid) != os.Getuid() {
 		return nil, errForeign
 	}
-	return &peer{conn: c}, nil
+	c.SetWriteBuffer(writeRoom)
+	in, err := newInbox(c)
+	if err != nil {
+		return nil, err
+	}
+	return &peer{conn: c, in: in}, nil
+}
+
+// close ends the connection. What has come is handled: the other process may have ended.
+func (p *peer) close() {
+	p.in.catchUp()
+	p.conn.Close()
+}
+
+// tellKey writes the note of a key to where the other process finds it, whatever becomes of
+// this one. Where that has ended nobody needs it.
+func (p *peer) tellKey(k Key) error {
+	err := p.send(&Record{Kind: KindKey, Key: &k}, nil, relayPatience)
+	if err == nil {
+		return nil
+	}
+	p.close() // its follower notes it
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 // send writes a record, with a descriptor where one is given.
@@ -317,31 +347,37 @@
 // Close ends the connection: the predecessor takes this process for ended.
 func (p *Predecessor) Close() { p.peer.conn.Close() }
 
+// TellKey tells the predecessor that a keyed request is to be sent here.
+func (p *Predecessor) TellKey(k Key) error { return p.peer.tellKey(k) }
+
+// CatchUp has all handled that the predecessor has told of keys by now.
+func (p *Predecessor) CatchUp() error { return p.peer.in.catchUp() }
+
 // Follow hands on what the predecessor tells until it ends. A key with a number is sent
-// once Kept tells that it is on the disk.
+// once Kept tells that it is on the disk. Keys are handed on by CatchUp too, one at a time;
+// key must not wait.
 func (p *Predecessor) Follow(members func(Members), key func(k Key, number uint64), part func(float64)) {
 	defer p.peer.conn.Close()
 	noted := func() { p.once.Do(func() { close(p.noted) }) }
 	defer noted() // one that has ended needs no word
-	for {
-		r, err := p.peer.receive()
-		if err != nil {
-			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-				slog.Warn("handover: the process before this one is heard no more", "error", err)
-			}
-			return
+	p.peer.in.onKey(func(r *Record) {
+		if r.Kind == KindKey {
+			key(*r.Key, r.Number)
 		}
+	})
+	for r := range p.peer.in.follow() {
 		switch r.Kind {
 		case KindServing:
 			noted()
 		case KindMembers:
 			members(*r.Members)
-		case KindKey:
-			key(*r.Key, r.Number)
 		case KindPart:
 			part(r.Part)
 		}
 	}
+	if err := p.peer.in.reason(); !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		slog.Warn("handover: the process before this one is heard no more", "error", err)
+	}
 }
 
 // Host is the process that hands over. Its methods are called one at a time.
@@ -353,6 +389,7 @@
 	Offer() (s *State, part float64, listener *os.File, err error)
 	SuccessorServes()                       // and takes all that is new
 	SuccessorHas(part float64, handed bool) // of the limits, by its own word
+	SuccessorKey(k Key)                     // that is to be sent there; called beside the others, and must not wait
 	SuccessorEnded()
 }
 
@@ -363,6 +400,8 @@
 	ctx                context.Context
 	going              *sync.WaitGroup // of its goroutines, which end with ctx
 
+	asked atomic.Bool // there is a successor, or was
+
 	mu        sync.Mutex
 	listener  *net.UnixListener
 	successor *peer // nil: none
@@ -434,7 +473,9 @@
 	o.mu.Lock()
 	taken := o.successor != nil
 	if !taken {
+		p.in.onKey(o.key)
 		o.successor, o.keeps = p, r.Keeps
+		o.asked.Store(true)
 	}
 	o.mu.Unlock()
 	if taken {
@@ -469,23 +510,26 @@
 
 // follow hears a successor until it ends.
 func (o *Offerer) follow(p *peer) {
-	for {
-		r, err := p.receive()
-		if err != nil {
-			p.conn.Close()
-			o.ended(p)
-			return
-		}
+	for r := range p.in.follow() {
 		switch r.Kind {
 		case KindServing:
 			o.host.SuccessorServes()
 			p.send(&Record{Kind: KindServing}, nil, relayPatience) // one that has ended shows in what is read
 		case KindPart:
 			o.host.SuccessorHas(r.Part, r.Handed)
-		case KindKept:
-			o.kept(r)
 		}
 	}
+	p.conn.Close()
+	o.ended(p)
+}
+
+// key takes what a successor tells of a key.
+func (o *Offerer) key(r *Record) {
+	if r.Kind == KindKept {
+		o.kept(r)
+	} else {
+		o.host.SuccessorKey(*r.Key)
+	}
 }
 
 // ended notes that the successor has ended. It had taken the path over: another
@@ -514,8 +558,22 @@
 // does not read is taken for ended.
 func (o *Offerer) Tell(m Members) { o.tell(&Record{Kind: KindMembers, Members: &m}) }
 
-// TellKey relays the note of a keyed request.
-func (o *Offerer) TellKey(k Key) { o.tell(&Record{Kind: KindKey, Key: &k}) }
+// TellKey tells the successor, if there is one, of a keyed request that is to be sent. When it
+// returns the note is where the successor's CatchUp finds it; on an error that is not so.
+func (o *Offerer) TellKey(k Key) error {
+	if p := o.peer(); p != nil {
+		return p.tellKey(k)
+	}
+	return nil
+}
+
+// CatchUp has all handled that the successor, if there is one, has told of keys by now.
+func (o *Offerer) CatchUp() error {
+	if p := o.peer(); p != nil {
+		return p.in.catchUp()
+	}
+	return nil
+}
 
 var (
 	// ErrKeepsNot tells that the successor does not say when a key is on its disk: it is
@@ -536,7 +594,7 @@
 		return err
 	}
 	if p.send(&Record{Kind: KindKey, Key: &k, Number: number}, nil, relayPatience) != nil {
-		p.conn.Close() // follow notes it
+		p.close() // follow notes it
 	}
 	select {
 	case err := <-word:
@@ -581,21 +639,24 @@
 	}
 }
 
+// Asked reports whether there is a successor, or was.
+func (o *Offerer) Asked() bool { return o.asked.Load() }
+
 // Successor reports whether there is one.
-func (o *Offerer) Successor() bool {
+func (o *Offerer) Successor() bool { return o.peer() != nil }
+
+// peer is the connection to the successor; nil: there is none.
+func (o *Offerer) peer() *peer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.successor != nil
+	return o.successor
 }
 
 // TellPart tells the successor this process's part.
 func (o *Offerer) TellPart(part float64) { o.tell(&Record{Kind: KindPart, Part: part}) }
 
 func (o *Offerer) tell(r *Record) {
-	o.mu.Lock()
-	p := o.successor
-	o.mu.Unlock()
-	if p != nil && p.send(r, nil, relayPatience) != nil {
-		p.conn.Close() // follow notes it
+	if p := o.peer(); p != nil && p.send(r, nil, relayPatience) != nil {
+		p.close() // follow notes it
 	}
 }
--- a/internal/handover/conn_test.go
+++ b/internal/handover/conn_test.go
@@ -33,6 +33,7 @@
 	served chan struct{}
 	parts  chan float64
 	ended  chan struct{}
+	keys   chan Key
 }
 
 func newHost(t *testing.T) *host {
@@ -42,7 +43,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	return &host{t: t, listener: l.(*net.TCPListener), state: &State{Services: []Service{{Of: maps, Members: Members{Version: 7, Full: true, Entries: []discovery.Entry{{ID: "s-1", Addr: "a", State: "leaving"}}}}}, IDs: IDs{Key: 3, Hashes: []uint64{1, 2}}},
-		served: make(chan struct{}, 8), parts: make(chan float64, 8), ended: make(chan struct{}, 8)}
+		served: make(chan struct{}, 8), parts: make(chan float64, 8), ended: make(chan struct{}, 8), keys: make(chan Key, 8)}
 }
 
 func (h *host) addr() string { return h.listener.Addr().String() }
@@ -54,6 +55,7 @@
 func (h *host) SuccessorServes()                       { h.served <- struct{}{} }
 func (h *host) SuccessorHas(part float64, handed bool) { h.parts <- part }
 func (h *host) SuccessorEnded()                        { h.ended <- struct{}{} }
+func (h *host) SuccessorKey(k Key)                     { h.keys <- k }
 
 // offer has a host wait at a path for the length of a test.
 func offer(t *testing.T, path string, h *host) *Offerer {
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -5,6 +5,7 @@
 package handover
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -45,7 +46,7 @@
 	KindBusy    Kind = "busy"    // another successor is there already
 	KindServing Kind = "serving" // the new process serves from now on; back: the old one has noted it
 	KindMembers Kind = "members" // what discovery told the old process
-	KindKey     Kind = "key"     // a keyed request that the old process has sent, or is to send once it is kept
+	KindKey     Kind = "key"     // a keyed request that the sender is to send, the old process maybe once it is kept
 	KindKept    Kind = "kept"    // back: it is on the new process's disk, or can't be
 	KindPart    Kind = "part"    // the part of the sender has changed
 )
@@ -195,6 +196,20 @@
 	return append(b, body...), nil
 }
 
+// next is the record that some bytes begin with, and its length; 0: it has not come whole.
+func next(b []byte) (r *Record, n int, err error) {
+	if len(b) < headSize {
+		return nil, 0, nil
+	}
+	if length := binary.BigEndian.Uint32(b[headSize-8:]); length <= MaxRecord {
+		if n = headSize + int(length); len(b) < n && string(b[:len(magic)]) == magic {
+			return nil, 0, nil
+		}
+	}
+	r, err = Decode(bytes.NewReader(b))
+	return r, n, err
+}
+
 // Decode reads a record. It holds no more than has come, so a length that lies
 // costs nothing.
 func Decode(from io.Reader) (*Record, error) {
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -31,7 +31,8 @@
 	window     time.Duration // in which the endpoints of the group drop repeats
 	until      time.Duration // when nobody asks again
 	out        int           // attempts
-	ran        bool          // one has ended that may have run
+	ran        bool          // one has ended that may have run, or another process may have made one
+	claimed    bool          // another process that makes an attempt later knows of ours before that
 	mask       moves.Mask    // the pools that it met
 
 	older, younger compact.Handle // by when they were first sent; None: there is none
@@ -62,13 +63,7 @@
 	if now-e.entry.sent >= min(time.Duration(float64(window)*(1-margin)), window-permit.HoldUp) {
 		return false
 	}
-	switch e.entry.scope {
-	case policy.ScopeZone:
-		return to.Zone == e.entry.zone
-	case policy.ScopeCell:
-		return to.Cell == e.entry.cell
-	}
-	return true
+	return e.entry.meets(to)
 }
 
 // Mask is which pools the key met.
@@ -106,6 +101,33 @@
 	return e.sent + e.window, e.ran || e.out > 1
 }
 
+// meets reports whether an endpoint is in the group that the key's attempts go to.
+func (e *entry) meets(to policy.Endpoint) bool {
+	switch e.scope {
+	case policy.ScopeZone:
+		return to.Zone == e.zone
+	case policy.ScopeCell:
+		return to.Cell == e.cell
+	}
+	return true
+}
+
+// Claim reports whether an attempt of a key, which was noted as sent and has been told to the
+// other processes, may begin at an endpoint, after all that they have told was adopted. From
+// then on another process gives way: it has told of its attempt later, and so finds this one.
+func (t *Table) Claim(key uint64, to policy.Endpoint) bool {
+	h := t.entries.Find(key)
+	if h == compact.None {
+		return true
+	}
+	e := t.entries.At(h)
+	if !e.meets(to) {
+		return false
+	}
+	e.claimed = true
+	return true
+}
+
 // Ended notes the end of an attempt that was sent. neverRan tells that it is
 // proved not to have run.
 func (t *Table) Ended(key uint64, neverRan bool) {
@@ -225,17 +247,35 @@
 const longest = time.Hour
 
 // Adopt takes a note of another process. Its effect is taken to have run: whether
-// it did is not told any more. What can't be meant is left out, and what is known
-// here goes before it.
+// it did is not told any more. What can't be meant is left out. What has been claimed here goes
+// before it; else the note does, and attempts that are noted and not claimed are not made.
 func (t *Table) Adopt(now time.Duration, n Note) {
 	bad := n.Scope > policy.ScopeCell || min(n.Age, n.Window, n.Left) < 0 || max(n.Age, n.Window, n.Left) > longest
 	h := t.entries.Find(n.Key)
-	if bad || n.Left == 0 || h != compact.None && now < t.entries.At(h).until {
+	if bad || n.Left == 0 {
 		return
 	}
-	sent := now - n.Age
-	if t.over.Advance(now, t.remove); t.entries.Len() >= Most && sent < t.entries.At(t.oldest).sent {
+	next := entry{scope: n.Scope, zone: n.Zone, cell: n.Cell, sent: now - n.Age, window: n.Window, until: now + n.Left, ran: true, mask: n.Mask}
+	if h != compact.None && now < t.entries.At(h).until {
+		t.meet(now, h, next)
+		return
+	}
+	if t.over.Advance(now, t.remove); t.entries.Len() >= Most && next.sent < t.entries.At(t.oldest).sent {
 		return // there is room for the youngest only
 	}
-	t.add(now, n.Key, entry{scope: n.Scope, zone: n.Zone, cell: n.Cell, sent: sent, window: n.Window, until: now + n.Left, ran: true, mask: n.Mask})
+	t.add(now, n.Key, next)
+}
+
+// meet has an entry stand for what another process tells of its key as well.
+func (t *Table) meet(now time.Duration, h compact.Handle, told entry) {
+	e := *t.entries.At(h)
+	same := e.scope == told.scope && told.meets(policy.Endpoint{Zone: e.zone, Cell: e.cell})
+	if e.claimed && !same {
+		return
+	}
+	if told.out = e.out; same {
+		told.claimed, told.mask = e.claimed, e.mask
+		told.sent, told.until = min(told.sent, e.sent), max(told.until, e.until)
+	}
+	t.add(now, t.entries.Key(h), told)
 }
--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -220,6 +220,93 @@
 	}
 }
 
+// Of two processes that are asked for a key together, in any order of steps and whatever comes of
+// attempts, never do both have it run, each in a cell of its own.
+func TestTwoProcessesAskedTogether(t *testing.T) {
+	type process struct {
+		table *Table
+		inbox []Note // told by the other, not adopted
+	}
+	type request struct {
+		at, cell int // its process; where it goes if nothing is known
+		neverRan bool
+		step     int
+		to       policy.Endpoint
+		claimed  bool
+	}
+	for mix := range 1 << 4 { // of processes, and which attempt never ran: with two of them one alone runs
+		steps, neverRan := []int{3, 3, 3, 0}, mix>>2
+		steps[neverRan]++
+		schedules(steps[:3], func(schedule []int) {
+			all := []*process{{table: New()}, {table: New()}}
+			var asked []*request
+			for i := range 3 {
+				asked = append(asked, &request{at: mix << 1 >> i & 1, cell: i, neverRan: i == neverRan})
+			}
+			adopt := func(p *process) {
+				for _, n := range p.inbox {
+					p.table.Adopt(0, n)
+				}
+				p.inbox = nil
+			}
+			ran := map[int]bool{}
+			for _, i := range schedule {
+				r := asked[i]
+				own, other := all[r.at], all[1-r.at]
+				switch r.step++; r.step {
+				case 1: // decided by what is known
+					adopt(own)
+					r.to = in(r.cell)
+					if e, known := own.table.Find(0, 7); known {
+						r.to = in(e.entry.cell)
+					}
+					own.table.Sent(0, 7, inCell, r.to, 0)
+				case 2:
+					n, _ := own.table.NoteOf(0, 7)
+					other.inbox = append(other.inbox, n)
+				case 3:
+					adopt(own)
+					if r.claimed = own.table.Claim(7, r.to); r.claimed && !r.neverRan {
+						ran[r.to.Cell] = true
+					}
+					if !r.neverRan {
+						own.table.Ended(7, !r.claimed)
+					}
+				case 4: // the end of one that never ran
+					own.table.Ended(7, true)
+				}
+			}
+			if len(ran) > 1 {
+				t.Fatalf("mix %b, schedule %v: it ran in cells %v", mix, schedule, ran)
+			}
+		})
+	}
+}
+
+// schedules calls with each order of so many steps of each request.
+func schedules(left []int, with func([]int)) {
+	var order []int
+	var next func()
+	next = func() {
+		over := true
+		for i := range left {
+			if left[i] == 0 {
+				continue
+			}
+			over = false
+			left[i]--
+			order = append(order, i)
+			next()
+			order = order[:len(order)-1]
+			left[i]++
+		}
+		if over {
+			with(order)
+		}
+	}
+	next()
+}
+
 func BenchmarkSent(b *testing.B) {
 	table := New()
 	b.ReportAllocs()
--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -35,3 +35,13 @@
 func (b Brake) Refuses() bool                           { return b.door() != nil }
 func (b Brake) Tell(waited time.Duration)               { b.tell(waited) }
 func (b Brake) Delay() time.Duration                    { return b.delay() }
+
+// HoldBack has the sidecar handle nothing that its predecessor tells from now on, until it goes on.
+func (s *Sidecar) HoldBack(predecessor *Sidecar) (goOn func()) {
+	s.upgrade.resize.Lock()
+	predecessor.upgrade.offerer.TellPart(predecessor.upgrade.part())
+	return s.upgrade.resize.Unlock
+}
+
+// Die ends the connection to the predecessor as the end of the process would.
+func (s *Sidecar) Die() { s.upgrade.predecessor.Close() }
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -142,7 +142,7 @@
 	if s.begun != nil && s.begun.Fleet != nil && s.begun.Fleet.Weights {
 		r.service.Measure()
 	}
-	r.service.OnKeyed(func(n keyed.Note) { r.upgrade.noteKey(handover.Key{Of: r.of, Note: n}) })
+	r.service.UsePeers(peers{r.upgrade, r.of})
 	return r, nil
 }
 
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -12,6 +12,7 @@
 	"spokegw/internal/core"
 	"spokegw/internal/discovery"
 	"spokegw/internal/handover"
+	"spokegw/internal/keyed"
 	"spokegw/internal/operator"
 	"spokegw/internal/state"
 )
@@ -29,7 +30,7 @@
 	division handover.Division
 	resize   sync.Mutex // one division is applied at a time
 
-	keys chan handover.Key // that wait to be told
+	keys chan handover.Key // of the predecessor that wait to be handed on
 	kept chan keptKey      // words on keys that wait to be told
 }
 
@@ -113,7 +114,7 @@
 			slog.Warn("no further process can take over from this one", "error", err)
 			u.offerer = nil
 		} else {
-			going.Go(func() { u.tellKeys(watching) })
+			going.Go(func() { u.handOnKeys(watching) })
 		}
 	}
 	if u.predecessor != nil {
@@ -141,7 +142,7 @@
 		k = k.Aged(state.Now().Since)
 		if r := u.sidecar.find(k.Of); r != nil {
 			r.service.AdoptKey(k.Note)
-			u.noteKey(k)
+			u.handOnKey(k)
 		}
 		u.sidecar.keepTold(told{k, number})
 	}, func(part float64) { u.change(false, func(d *handover.Division) { d.PredecessorHas(part) }) })
@@ -164,13 +165,70 @@
 	ok     bool
 }
 
-// keysWaiting bounds the notes of keyed requests that wait to be told. What comes
-// while so many wait is not told: the successor hangs then, and is given up soon.
+// keysWaiting bounds the notes of keyed requests that wait to be handed on. What comes
+// while so many wait is not: the successor hangs then, and is given up soon.
 const keysWaiting = 1024
 
-// noteKey has a keyed request told to the successor, if there is one. It does not
+// peers are the processes before and after this one, for a service.
+type peers struct {
+	upgrade *upgrade
+	of      handover.Of
+}
+
+// Any reports whether there are some, or were.
+func (p peers) Any() bool {
+	u := p.upgrade
+	return u.predecessor != nil || u.offerer != nil && u.offerer.Asked()
+}
+
+// Tell has both know of a key.
+func (p peers) Tell(n keyed.Note) error {
+	u, k := p.upgrade, handover.Key{Of: p.of, Note: n, At: state.Now().Since}
+	if u.hearsPredecessor() {
+		if err := u.predecessor.TellKey(k); err != nil {
+			return err
+		}
+	}
+	if u.offerer == nil {
+		return nil
+	}
+	return u.offerer.TellKey(k.Aged(state.Now().Since))
+}
+
+// CatchUp has all adopted that they have told of keys.
+func (p peers) CatchUp() error {
+	u := p.upgrade
+	if u.hearsPredecessor() {
+		if err := u.predecessor.CatchUp(); err != nil {
+			return err
+		}
+	}
+	if u.offerer == nil {
+		return nil
+	}
+	return u.offerer.CatchUp()
+}
+
+// hearsPredecessor reports whether there is a predecessor that may tell something yet.
+func (u *upgrade) hearsPredecessor() bool {
+	select {
+	case <-u.ended:
+		return false
+	default:
+		return u.predecessor != nil
+	}
+}
+
+// SuccessorKey is called when the successor is to send a keyed request.
+func (u *upgrade) SuccessorKey(k handover.Key) {
+	if r := u.sidecar.find(k.Of); r != nil {
+		r.service.AdoptKey(k.Aged(state.Now().Since).Note)
+	}
+}
+
+// handOnKey has a key of the predecessor's told to the successor, if there is one. It does not
 // wait.
-func (u *upgrade) noteKey(k handover.Key) {
+func (u *upgrade) handOnKey(k handover.Key) {
 	if u.offerer == nil || !u.offerer.Successor() {
 		return
 	}
@@ -205,8 +263,8 @@
 	}
 }
 
-// tellKeys tells the successor of keyed requests until ctx ends.
-func (u *upgrade) tellKeys(ctx context.Context) {
+// handOnKeys tells the successor of the predecessor's keyed requests until ctx ends.
+func (u *upgrade) handOnKeys(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -169,6 +169,88 @@
 	}
 }
 
+// upgraded is an old process and its successor, whose endpoints run keyed requests and do not
+// answer. kept are connections to the old one.
+type upgraded struct {
+	*reports
+	t         *testing.T
+	old, next *scene.Scene
+	kept      []net.Conn
+}
+
+func upgrade(t *testing.T, keys int) *upgraded {
+	t.Helper()
+	u := &upgraded{reports: &reports{cells: map[string][]int{}, came: make(chan string, 16*keys)}, t: t}
+	c := scene.Config{Listen: address(t), Folder: t.TempDir(), Maps: u.endpoints(), Aim: 9 * time.Second, Deadline: 9 * time.Second, Window: 30 * time.Second}
+	u.old = startReady(t, c)
+	for _, e := range u.old.Maps {
+		e.Silence()
+		t.Cleanup(e.Speak)
+	}
+	for range keys {
+		u.kept = append(u.kept, connect(t, u.old.Addr()))
+	}
+	c.Maps, c.Beside = nil, u.old
+	u.next = startReady(t, c)
+	return u
+}
+
+// send sends each key on a connection, and waits until the endpoints have them all.
+func (u *upgraded) send(id string, on func(i int) net.Conn) {
+	u.t.Helper()
+	for i := range u.kept {
+		sendReport(u.t, on(i), fmt.Sprint(id, i), fmt.Sprint("key-", i))
+	}
+	for range u.kept {
+		select {
+		case <-u.came:
+		case <-time.After(10 * time.Second):
+			u.t.Fatal("a request does not reach an endpoint")
+		}
+	}
+}
+
+func (u *upgraded) toOld(i int) net.Conn { return u.kept[i] }
+func (u *upgraded) toNext(int) net.Conn  { return connect(u.t, u.next.Addr()) }
+
+// inOneCell checks that each key came twice, to endpoints that drop the repeat.
+func (u *upgraded) inOneCell() {
+	u.t.Helper()
+	wrong := 0
+	for i := range u.kept {
+		if cells := u.of(fmt.Sprint("key-", i)); len(cells) != 2 || cells[0] != cells[1] {
+			wrong++
+		}
+	}
+	if wrong > 0 {
+		u.t.Errorf("%d of %d keys ran in two cells", wrong, len(u.kept))
+	}
+}
+
+// The successor is asked for a key that the old process has sent, and has not handled what
+// that one tells.
+func TestKeyAskedForBeforeItIsHeardOf(t *testing.T) {
+	u := upgrade(t, 20)
+	defer u.next.Sidecar.HoldBack(u.old.Sidecar)()
+	u.send("first-", u.toOld)
+	u.send("again-", u.toNext)
+	u.inOneCell()
+}
+
+// The old process is asked, on a connection that a client has kept, for a key that its successor
+// has sent, while that is there or after an upgrade that is undone.
+func TestKeyAskedForOfTheOldProcess(t *testing.T) {
+	for _, undone := range []bool{false, true} {
+		u := upgrade(t, 20)
+		u.send("first-", u.toNext)
+		if undone {
+			u.next.Sidecar.Die()
+		}
+		u.send("again-", u.toOld)
+		u.inOneCell()
+	}
+}
+
 // A team that has used up its burst has no other one by an upgrade.
 func TestContractsAcrossProcesses(t *testing.T) {
 	const burst = 10
