sidecar: the first of three processes is told of the third's keys

Of three processes in a row the first may be asked, on a connection that a client kept, for a key that the third has sent. The one between handed on what the first tells of keys, and not what the third does: the first never knew of the key, and could send it to another cell.

Now the one between hands on both ways, by the queue and the goroutine that there were. The first and the last do not wait for that, so the order of events is not closed for those two: asked for one key before it has been handed on they may send it to two cells (docs/incidents/repeated-keys.md, Open).

--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -30,13 +30,13 @@
 	division handover.Division
 	resize   sync.Mutex // one division is applied at a time
 
-	keys chan handover.Key // of the predecessor that wait to be handed on
-	kept chan keptKey      // words on keys that wait to be told
+	keys chan handedOn // that wait to be told
+	kept chan keptKey  // words on keys that wait to be told
 }
 
 // join asks the process that serves, if there is one, to hand over.
 func (s *Sidecar) join() *upgrade {
-	u := &upgrade{sidecar: s, division: handover.Alone(), ended: make(chan struct{}), keys: make(chan handover.Key, keysWaiting), kept: make(chan keptKey, keysWaiting)}
+	u := &upgrade{sidecar: s, division: handover.Alone(), ended: make(chan struct{}), keys: make(chan handedOn, keysWaiting), kept: make(chan keptKey, keysWaiting)}
 	defer func() {
 		if u.predecessor == nil {
 			close(u.ended)
@@ -142,7 +142,7 @@
 		k = k.Aged(state.Now().Since)
 		if r := u.sidecar.find(k.Of); r != nil {
 			r.service.AdoptKey(k.Note)
-			u.handOnKey(k)
+			u.handOnKey(k, u.offerer != nil && u.offerer.Successor(), u.tellSuccessor)
 		}
 		u.sidecar.keepTold(told{k, number})
 	}, func(part float64) { u.change(false, func(d *handover.Division) { d.PredecessorHas(part) }) })
@@ -166,7 +166,7 @@
 }
 
 // keysWaiting bounds the notes of keyed requests that wait to be handed on. What comes
-// while so many wait is not: the successor hangs then, and is given up soon.
+// while so many wait is not: who is to be told hangs then, and is given up soon.
 const keysWaiting = 1024
 
 // peers are the processes before and after this one, for a service.
@@ -184,15 +184,10 @@
 // Tell has both know of a key.
 func (p peers) Tell(n keyed.Note) error {
 	u, k := p.upgrade, handover.Key{Of: p.of, Note: n, At: state.Now().Since}
-	if u.hearsPredecessor() {
-		if err := u.predecessor.TellKey(k); err != nil {
-			return err
-		}
+	if err := u.tellPredecessor(k); err != nil {
+		return err
 	}
-	if u.offerer == nil {
-		return nil
-	}
-	return u.offerer.TellKey(k.Aged(state.Now().Since))
+	return u.tellSuccessor(k.Aged(state.Now().Since))
 }
 
 // CatchUp has all adopted that they have told of keys.
@@ -222,22 +217,43 @@
 // SuccessorKey is called when the successor is to send a keyed request.
 func (u *upgrade) SuccessorKey(k handover.Key) {
 	if r := u.sidecar.find(k.Of); r != nil {
-		r.service.AdoptKey(k.Aged(state.Now().Since).Note)
+		k = k.Aged(state.Now().Since)
+		r.service.AdoptKey(k.Note)
+		u.handOnKey(k, u.hearsPredecessor(), u.tellPredecessor)
 	}
 }
 
-// handOnKey has a key of the predecessor's told to the successor, if there is one. It does not
-// wait.
-func (u *upgrade) handOnKey(k handover.Key) {
-	if u.offerer == nil || !u.offerer.Successor() {
+// handedOn is a key that one of the processes beside this one has told, for the other.
+type handedOn struct {
+	key  handover.Key
+	tell func(handover.Key) error
+}
+
+// handOnKey has a key told to the process on the other side, if that is there. It does not wait.
+func (u *upgrade) handOnKey(k handover.Key, there bool, tell func(handover.Key) error) {
+	if !there {
 		return
 	}
 	select {
-	case u.keys <- k.Aged(state.Now().Since):
+	case u.keys <- handedOn{k, tell}:
 	default:
 	}
 }
 
+func (u *upgrade) tellPredecessor(k handover.Key) error {
+	if !u.hearsPredecessor() {
+		return nil
+	}
+	return u.predecessor.TellKey(k)
+}
+
+func (u *upgrade) tellSuccessor(k handover.Key) error {
+	if u.offerer == nil {
+		return nil
+	}
+	return u.offerer.TellKey(k)
+}
+
 // tellKept tells the predecessor which of the keys that it waits for are on the disk,
 // until ctx ends.
 func (u *upgrade) tellKept(ctx context.Context) {
@@ -263,14 +279,14 @@
 	}
 }
 
-// handOnKeys tells the successor of the predecessor's keyed requests until ctx ends.
+// handOnKeys tells each of the processes beside this one what the other told of keys, until ctx ends.
 func (u *upgrade) handOnKeys(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case k := <-u.keys:
-			u.offerer.TellKey(k)
+			k.tell(k.key)
 		}
 	}
 }
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -174,6 +174,7 @@
 type upgraded struct {
 	*reports
 	t         *testing.T
+	config    scene.Config // of a further process
 	old, next *scene.Scene
 	kept      []net.Conn
 }
@@ -191,7 +192,7 @@
 		u.kept = append(u.kept, connect(t, u.old.Addr()))
 	}
 	c.Maps, c.Beside = nil, u.old
-	u.next = startReady(t, c)
+	u.next, u.config = startReady(t, c), c
 	return u
 }
 
@@ -251,6 +252,21 @@
 	}
 }
 
+// Of three processes in a row the first is asked for a key that the third has sent, once the one
+// between them has handed that back.
+func TestKeyIsHandedBackToTheFirstOfThree(t *testing.T) {
+	u := upgrade(t, 20)
+	startReady(t, u.config)
+	u.send("first-", u.toNext)
+	for until := time.Now().Add(patience); u.old.Sidecar.KeysKnown() < len(u.kept); must(t, u.old, "ready") {
+		if time.Now().After(until) {
+			t.Fatalf("the first process knows of %d keys", u.old.Sidecar.KeysKnown())
+		}
+	}
+	u.send("again-", u.toOld)
+	u.inOneCell()
+}
+
 // A team that has used up its burst has no other one by an upgrade.
 func TestContractsAcrossProcesses(t *testing.T) {
 	const burst = 10
