lab: one judge of what all sidecars together send a cold endpoint

TestManyProcessesBeforeColdEndpoints had this judge in its own loop, so that no other rig could hold sidecars to the same budget. It is lab.ColdStart now, which knows what the settings tell of cold endpoints, and the platform's settings in lab/scene can tell the multiple and the time besides (rules.fall_multiple, rules.fall_ms).

Spans that begin when an endpoint is warm are not judged any more; the test ends some 8 s after the start of 20 s in which its endpoints are cold, so it has none.

--- a/cmd/spokegw/crowd_test.go
+++ b/cmd/spokegw/crowd_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -55,20 +54,16 @@
 		t.Errorf("nine in ten are ready after %v", late)
 	}
 	<-time.After(time.Until(replaced.Add(8 * time.Second)))
+	allowed := lab.ColdStart{Time: coldTime, Least: least, Multiple: multiple, Span: span}
 	for _, e := range fresh {
-		times, worst := g.Times(e), 0.0
-		for from, at := range times {
-			to := from
-			for to < len(times) && times[to] < at+span {
-				to++
-			}
-			warm := math.Min(1, least+(1-least)*(at-times[0]).Seconds()/coldTime.Seconds())
-			n := multiple * warm * span.Seconds() / work.Seconds()
-			worst = math.Max(worst, float64(to-from)/(n+2*math.Sqrt(n)+2))
+		ages := g.Times(e)
+		for i := len(ages) - 1; i >= 0; i-- {
+			ages[i] -= ages[0] // since its first request
 		}
-		t.Logf("cold endpoint %d met %d requests, at worst %.2f of what it may in %v", e, len(times), worst, span)
-		if worst > 1 || len(times) < 20 {
-			t.Errorf("cold endpoint %d met %d requests, %.2f of what it may", e, len(times), worst)
+		worst, _ := allowed.Used(ages, 1/work.Seconds())
+		t.Logf("cold endpoint %d met %d requests, at worst %.2f of what it may in %v", e, len(ages), worst, span)
+		if worst > 1 || len(ages) < 20 {
+			t.Errorf("cold endpoint %d met %d requests, %.2f of what it may", e, len(ages), worst)
 		}
 	}
 	g.check()
--- a/internal/lab/federation/gateway.go
+++ b/internal/lab/federation/gateway.go
@@ -47,7 +47,7 @@
 	}
 	platform := scene.Configuration(scene.Platform{
 		FleetSize: size,
-		Name:      g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0, Cold: f.Cold,
+		Name:      g.Name, Listen: g.listen, Registry: f.registry.Addr(), Listed: f.entries(), ConnectTimeout: 5 * time.Second, SecondCopies: len(f.Sites) > 0, Cold: lab.ColdStart{Time: f.Cold},
 		Classes: []scene.Class{{"name": "status-report", "effect": "idempotency_key", "key_scope": "cell", "dedup_window_ms": window.Milliseconds(),
 			"worth": 3, "late_worth": 0.4, "aim_ms": aim.Milliseconds(), "hard_limit_ms": deadline.Milliseconds()}},
 	})
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -211,7 +211,7 @@
 	FleetSize          int               // sidecars of the deployment; 0: 1
 	ConnectTimeout     time.Duration     // 0: 100 ms
 	SecondCopies       bool
-	Cold               time.Duration // that a new endpoint takes until it is warm, from a fifth of its capacity; 0: none is cold
+	Cold               lab.ColdStart // of new endpoints, from a fifth of their capacity where Least is 0
 	Asked              bool          // discovery is asked by all; else an agent has what is pushed
 	Grace              time.Duration // in which sends to an endpoint that drains cease; 0: not told
 	Classes            []Class
@@ -234,7 +234,11 @@
 				"cancelling": true, "second_copies": p.SecondCopies,
 			},
 			"classes": p.Classes,
-			"rules":   map[string]any{"cold_ms": p.Cold.Milliseconds(), "start_capacity": 0.2, "ask_within_ms": 10000, "drain_grace_ms": p.Grace.Milliseconds()},
+			"rules": map[string]any{
+				"cold_ms": p.Cold.Time.Milliseconds(), "start_capacity": cmp.Or(p.Cold.Least, 0.2),
+				"fall_multiple": p.Cold.Multiple, "fall_ms": p.Cold.Span.Milliseconds(),
+				"ask_within_ms": 10000, "drain_grace_ms": p.Grace.Milliseconds(),
+			},
 		},
 	})
 	return text
