lab/trial, bench/trial: cold endpoints under bursts, and what they are sent is judged

No rig of real processes among random faults held the sidecars to the budget of cold endpoints: in bench/trial all endpoints were warm, and could do any number of requests.

With -cold endpoints that join are cold, as the settings tell it (drawn for each seed: warm after 5 to 20 s, from 0.08 to 0.2 of their capacity, three times that within 1 or 2 s). A fault is added to those that are drawn: one to three endpoints are replaced while three times as many clients send, and send more often. An endpoint works on one request at a time then, so that what it can do is known. When a seed is over, what all sidecars together sent each endpoint while it was cold is held against lab.ColdStart; over it is the rule `failback`. Violations tell when they were seen, and the faults of a course have numbers, by which some of them can be played alone.

TestColdEndpointIsSentTooMuchByAll is new: one request more than may be sent is a violation.

--- a/bench/trial/main.go
+++ b/bench/trial/main.go
@@ -7,12 +7,14 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
+	"spokegw/internal/lab"
 	"spokegw/internal/lab/trial"
 	"spokegw/internal/permit"
 )
@@ -26,6 +28,7 @@
 	lasts := flag.Duration("lasts", 60*time.Second, "of one seed")
 	dir := flag.String("dir", "", "keeps the logs of seeds that break something; empty: nowhere")
 	beside := flag.Int("beside", 1, "seeds or scenes that are played at once")
+	cold := flag.Bool("cold", false, "endpoints that join are cold, some replace others under a burst, and what they are sent is judged")
 	flag.Parse()
 	c := trial.Config{Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: 3, Grace: time.Second, Lasts: *lasts, Seed: *first}
 	var courses []trial.Config
@@ -35,6 +38,9 @@
 		for i := range *seeds {
 			c.Seed = *first + uint64(i)
 			c.Asked, c.Crowd = c.Seed%2 == 0, c.Seed%5 == 0
+			if *cold {
+				c.Cold = coldStart(c.Seed)
+			}
 			courses = append(courses, c)
 		}
 	}
@@ -43,6 +49,15 @@
 	}
 }
 
+// coldStart draws what the settings tell of endpoints that have just started, as the platform does.
+func coldStart(seed uint64) *lab.ColdStart {
+	rng := rand.New(rand.NewPCG(seed, 45))
+	return &lab.ColdStart{
+		Time: 5*time.Second + time.Duration(rng.Int64N(int64(15*time.Second))), Least: 0.08 + 0.12*rng.Float64(),
+		Multiple: 3, Span: time.Duration(1+rng.IntN(2)) * time.Second,
+	}
+}
+
 // sceneCourses are all scenes: none to three calls refused, none to two cut off, in both
 // orders, and answers that come at once or late.
 func sceneCourses(c trial.Config) (all []trial.Config) {
@@ -151,9 +166,12 @@
 
 // scene tells what a scripted course was, and when the drain was written to its sidecars.
 func scene(c trial.Config, r *trial.Report) string {
-	if c.Scene == nil {
+	if c.Scene == nil && c.Cold == nil {
 		return fmt.Sprint(c.Sidecars, " sidecars")
 	}
+	if c.Scene == nil {
+		return fmt.Sprintf("%d sidecars, %d cold endpoints, sent %.2f of what they may be at most", c.Sidecars, r.Cold, r.Used)
+	}
 	worst := trial.Lateness{}
 	for _, l := range r.Late {
 		worst.Last, worst.After = max(worst.Last, l.Last), worst.After+l.After
@@ -169,7 +187,7 @@
 	}
 	text := ""
 	for _, v := range r.Broken {
-		text += fmt.Sprintf("%s: %s\n", v.Rule, v.What)
+		text += fmt.Sprintf("%6.2f %s: %s\n", v.At.Seconds(), v.Rule, v.What)
 	}
 	for _, f := range r.Faults {
 		text += f + "\n"
--- a/internal/lab/trial/client.go
+++ b/internal/lab/trial/client.go
@@ -41,6 +41,7 @@
 	sidecar int
 	rng     *rand.Rand
 	name    string
+	burst   bool // it sends more often, and never rests
 	n       int
 	conn    net.Conn
 	begun   time.Time // when that was begun to be made
@@ -66,7 +67,9 @@
 	}()
 	for ctx.Err() == nil {
 		pause := time.Duration(c.rng.ExpFloat64() * float64(clientPause))
-		if c.rng.Float64() < restsPart {
+		if c.burst {
+			pause /= 2
+		} else if c.rng.Float64() < restsPart {
 			pause = time.Duration(c.rng.Int64N(int64(6 * time.Second)))
 		}
 		select {
--- a/internal/lab/trial/endpoint.go
+++ b/internal/lab/trial/endpoint.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -45,24 +46,29 @@
 	proxy  *lab.Proxy
 	note   func(arrival)
 	stop   chan struct{}
+	turns  chan struct{}  // held by the requests that are worked on
+	work   time.Duration  // of a request, once it is warm
+	cold   *lab.ColdStart // nil: it is warm
+	since  time.Time      // it started
 
 	mu   sync.Mutex
 	mood mood
 }
 
-func startEndpoint(name string, cell int, note func(arrival)) (*endpoint, error) {
+// start has an endpoint serve as it is described.
+func (e *endpoint) start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("trial: endpoint: %w", err)
+		return fmt.Errorf("trial: endpoint: %w", err)
 	}
-	e := &endpoint{name: name, cell: cell, note: note, stop: make(chan struct{})}
+	e.stop = make(chan struct{})
 	e.server = &http.Server{Handler: e}
 	if e.proxy, err = lab.StartProxy(l.Addr().String()); err != nil {
 		l.Close()
-		return nil, err
+		return err
 	}
 	go e.server.Serve(l) // it ends with close
-	return e, nil
+	return nil
 }
 
 func (e *endpoint) close() {
@@ -95,7 +101,7 @@
 	e.mu.Unlock()
 	told, _ := time.ParseDuration(strings.Replace(strings.Replace(r.Header.Get("Req-Deadline"), "u", "us", 1), "m", "ms", 1))
 	e.note(arrival{endpoint: e.name, cell: e.cell, id: r.Header.Get("Req-Id"), first: first, told: told, ran: mood != moodDeclines})
-	work := usualWork
+	work := e.work
 	switch mood {
 	case moodDeclines:
 		w.Header().Set("Srv-Declined", "1")
@@ -115,13 +121,31 @@
 	case moodSlow:
 		work = time.Duration(rand.Int64N(int64(slowWork)))
 	}
-	select {
-	case <-time.After(work):
-	case <-r.Context().Done():
+	if !e.does(r.Context(), work) {
 		panic(http.ErrAbortHandler)
 	}
 	io.WriteString(w, answerTo(r.Header.Get("Req-Id")))
 }
 
+// does works on a request in its turn, and longer where the endpoint is cold. It reports false for
+// one that was called off.
+func (e *endpoint) does(ctx context.Context, work time.Duration) bool {
+	select {
+	case e.turns <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-e.turns }()
+	if e.cold != nil {
+		work = time.Duration(float64(work) / e.cold.Warmth(time.Since(e.since)))
+	}
+	select {
+	case <-time.After(work):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // answerTo is the one answer that belongs to a request.
 func answerTo(id string) string { return "answer to " + id }
--- a/internal/lab/trial/faults.go
+++ b/internal/lab/trial/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -63,27 +64,32 @@
 	{"idle clients", 1, (*play).crowd},
 }
 
+// coldFaults are played besides where endpoints that join are cold.
+var coldFaults = []fault{{"endpoints are replaced under a burst", 6, (*play).replace}}
+
 // random plays faults at random, which overlap, until shortly before ctx ends.
 func (p *play) random(ctx context.Context) {
 	var playing sync.WaitGroup
 	defer playing.Wait()
-	total := 0
-	for _, f := range randomFaults {
+	faults, total := randomFaults, 0
+	if p.Cold != nil {
+		faults = slices.Concat(randomFaults, coldFaults)
+	}
+	for _, f := range faults {
 		total += f.often
 	}
 	until := p.begun.Add(p.Lasts - quietEnd)
-	for time.Now().Before(until) {
+	for number := 0; time.Now().Before(until); number++ {
 		if !wait(ctx, time.Duration(p.rng.ExpFloat64()*float64(faultGap))) {
 			return
 		}
 		n := p.rng.IntN(total)
-		for _, f := range randomFaults {
-			if n -= f.often; n < 0 {
-				rng := rand.New(rand.NewPCG(p.rng.Uint64(), 1))
-				p.note("%s", f.name)
-				playing.Go(func() { f.play(p, ctx, rng) })
-				break
-			}
+		i := slices.IndexFunc(faults, func(f fault) bool { n -= f.often; return n < 0 })
+		rng := rand.New(rand.NewPCG(p.rng.Uint64(), 1))
+		if p.Only == nil || slices.Contains(p.Only, number) {
+			p.played = append(p.played, number)
+			p.note("%d: %s", number, faults[i].name)
+			playing.Go(func() { faults[i].play(p, ctx, rng) })
 		}
 	}
 }
@@ -143,6 +149,24 @@
 	}
 }
 
+// replace has some endpoints replaced by new ones while more clients come, that send more often.
+func (p *play) replace(ctx context.Context, rng *rand.Rand) {
+	burst, stop := context.WithTimeout(ctx, span(rng, 2*time.Second, 5*time.Second))
+	defer stop()
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	number := rng.Uint32()
+	for i := range 2 * p.Config.Sidecars * p.Clients {
+		c := &client{play: p, sidecar: i % p.Config.Sidecars, rng: rand.New(rand.NewPCG(uint64(number), uint64(i))), name: fmt.Sprintf("%x-%d", number, i), burst: true}
+		clients.Go(func() { c.run(burst) })
+	}
+	for range 1 + rng.IntN(3) {
+		p.join()
+		p.drainOne(rng)
+		wait(burst, span(rng, 0, 300*time.Millisecond))
+	}
+}
+
 func (p *play) discoveryDown(ctx context.Context, rng *rand.Rand) {
 	how := []CallFault{Refused, Reset, Unanswered}[rng.IntN(3)]
 	for _, r := range p.registry {
--- a/internal/lab/trial/judge.go
+++ b/internal/lab/trial/judge.go
@@ -22,6 +22,7 @@
 	Drain     Rule = "drain"
 	Departed  Rule = "departed"
 	Deadline  Rule = "deadline"
+	Failback  Rule = "failback" // a cold endpoint was sent more by all together than the settings let it be
 	Crash     Rule = "crash"
 	Inside    Rule = "inside" // a violation that a sidecar counted itself
 )
@@ -33,6 +34,7 @@
 	// HeldUp: it is by a time that was exceeded, and within that this process was held up for longer than
 	// a sidecar may be. It tells nothing of the sidecar.
 	HeldUp bool
+	At     time.Duration // that it was seen, since the run began
 }
 
 const (
@@ -68,6 +70,7 @@
 type judge struct {
 	config Config
 	hold   lab.HoldUps
+	begun  time.Time
 
 	mu       sync.Mutex
 	requests map[string]*sent
@@ -106,7 +109,7 @@
 }
 
 func newJudge(c Config) *judge {
-	return &judge{config: c, requests: map[string]*sent{}, arrivals: map[string][]arrival{}, drained: map[string]change{}, late: map[string]Lateness{}}
+	return &judge{config: c, begun: time.Now(), requests: map[string]*sent{}, arrivals: map[string][]arrival{}, drained: map[string]change{}, late: map[string]Lateness{}}
 }
 
 // sure marks a violation that no hold-up of this process can be the reason of.
@@ -144,7 +147,7 @@
 
 // breaksLocked is breaks where j.mu is held.
 func (j *judge) breaksLocked(r Rule, heldUp bool, format string, args ...any) {
-	j.broken = append(j.broken, Violation{r, fmt.Sprintf(format, args...), heldUp})
+	j.broken = append(j.broken, Violation{r, fmt.Sprintf(format, args...), heldUp, time.Since(j.begun)})
 }
 
 func (j *judge) begins(id string, s *sent) {
@@ -231,6 +234,35 @@
 	}
 }
 
+// cold judges what endpoints were sent while they were cold, when that is over. It returns what part of
+// what each may be sent was used.
+func (j *judge) cold(endpoints []*endpoint) (all []float64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	came := map[string][]time.Time{}
+	for _, arrivals := range j.arrivals {
+		for _, a := range arrivals {
+			came[a.endpoint] = append(came[a.endpoint], a.first)
+		}
+	}
+	for _, e := range endpoints {
+		if e.cold == nil || len(came[e.name]) == 0 {
+			continue
+		}
+		var ages []time.Duration
+		for _, at := range came[e.name] {
+			ages = append(ages, at.Sub(e.since))
+		}
+		slices.Sort(ages)
+		used, at := e.cold.Used(ages, 1/e.work.Seconds())
+		if all = append(all, used); used > 1 {
+			from := e.since.Add(at)
+			j.breaksLocked(Failback, late(&j.hold, from, from.Add(e.cold.Span)), "%s was sent %.2f of what it may be from its age of %v on", e.name, used, at)
+		}
+	}
+	return all
+}
+
 // byRule counts violations.
 func byRule(all []Violation) map[Rule]int {
 	n := map[Rule]int{}
--- a/internal/lab/trial/judge_test.go
+++ b/internal/lab/trial/judge_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"spokegw/internal/lab"
 	"spokegw/internal/lab/process"
 )
 
@@ -154,3 +156,25 @@
 		t.Error("a rule violated in a hold-up is not for it")
 	}
 }
+
+// A cold endpoint that has one worker, for 10 ms a request, and begins with a tenth, may be sent 30
+// and 2 x root of 30 + 2 requests within a second, by all sidecars together.
+func TestColdEndpointIsSentTooMuchByAll(t *testing.T) {
+	begun := time.Now().Add(-20 * time.Second)
+	e := &endpoint{name: "s-1", work: 10 * time.Millisecond, since: begun, cold: &lab.ColdStart{Time: time.Hour, Least: 0.1, Multiple: 3, Span: time.Second}}
+	j := newJudge(Config{})
+	sends := func(n int) {
+		for i := range n {
+			id := fmt.Sprint("of sidecar ", i)
+			j.arrivals[id] = append(j.arrivals[id], arrival{endpoint: "s-1", first: begun}, arrival{endpoint: "s-2", first: begun})
+		}
+	}
+	sends(42)
+	if used := j.cold([]*endpoint{e, {name: "s-2"}}); len(used) != 1 || len(j.broken) > 0 {
+		t.Errorf("sent all that it may be: %v, %v", used, j.broken)
+	}
+	sends(1)
+	if j.cold([]*endpoint{e}); len(j.broken) != 1 || j.broken[0].Rule != Failback {
+		t.Errorf("sent one more: %v", j.broken)
+	}
+}
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -10,12 +10,14 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"spokegw/internal/discovery"
+	"spokegw/internal/lab"
 	"spokegw/internal/lab/process"
 	"spokegw/internal/lab/scene"
 )
@@ -33,8 +35,10 @@
 	Grace     time.Duration
 	Lasts     time.Duration
 	Seed      uint64
-	Scene     *Scene // a scripted course in place of a random one; nil: random
-	Crowd     bool   // idle clients fill the places of some sidecars
+	Scene     *Scene         // a scripted course in place of a random one; nil: random
+	Crowd     bool           // idle clients fill the places of some sidecars
+	Cold      *lab.ColdStart // of endpoints that join, also under bursts; nil: none is cold
+	Only      []int          // numbers of the faults of a random course that are played; nil: all are
 }
 
 // Scene is a course in which open watches fall silent, one endpoint begins to drain 0.2 s
@@ -54,6 +58,9 @@
 	Calls                          int                 // to the registry
 	MostCalls                      int                 // in any second, of all sidecars
 	Faults                         []string            // that were played
+	Played                         []int               // their numbers in a random course
+	Cold                           int                 // endpoints that were sent something while they were cold
+	Used                           float64             // of what one of them may be sent, at most
 	Worst                          time.Duration       // that this process was held up at once
 }
 
@@ -72,6 +79,7 @@
 
 	mu     sync.Mutex
 	faults []string
+	played []int // by the goroutine of random alone
 	begun  time.Time
 }
 
@@ -139,16 +147,46 @@
 }
 
 func (p *play) newEndpoint(name string, cell int) (discovery.Entry, error) {
-	e, err := startEndpoint(name, cell, p.judge.arrives)
-	if err != nil {
+	e := &endpoint{name: name, cell: cell, note: p.judge.arrives, work: p.work(), turns: make(chan struct{}, p.turns())}
+	entry := discovery.Entry{ID: name, Kind: "std", Cell: cell, State: "active", Weight: 1}
+	if p.Cold != nil && len(p.sidecars) > 0 { // it joins
+		e.cold, e.since = p.Cold, time.Now()
+		entry.StartedMS = e.since.UnixMilli()
+	}
+	if err := e.start(); err != nil {
 		return discovery.Entry{}, err
 	}
 	p.endpoints = append(p.endpoints, e)
-	entry := discovery.Entry{ID: name, Addr: e.proxy.Addr(), Kind: "std", Cell: cell, State: "active", Weight: 1}
+	entry.Addr = e.proxy.Addr()
 	p.entries[name] = entry
 	return entry, nil
 }
 
+const (
+	// clientRate is about how many requests a second a client sends that is answered at once, and
+	// usedPart what part that is to be of what all endpoints can do, where some are cold. A burst is
+	// more than the whole.
+	clientRate, usedPart = 10.0, 0.4
+	// manyTurns stands for any number of requests that an endpoint works on at once.
+	manyTurns = 1 << 16
+)
+
+// work is that of a request at an endpoint that is warm.
+func (c *Config) work() time.Duration {
+	if c.Cold == nil {
+		return usualWork
+	}
+	return time.Duration(usedPart * float64(c.Endpoints) / (clientRate * float64(c.Sidecars*c.Clients)) * float64(time.Second))
+}
+
+// turns is how many requests an endpoint works on at once: what it can do counts where some are cold.
+func (c *Config) turns() int {
+	if c.Cold == nil {
+		return manyTurns
+	}
+	return 1
+}
+
 func (p *play) end() {
 	for _, s := range p.sidecars {
 		s.finish()
@@ -201,7 +239,9 @@
 
 func (p *play) report() *Report {
 	p.judge.duplicates()
-	r := &Report{Asked: p.asked.Load(), Served: p.served.Load(), Refused: p.refused.Load(), Failed: p.failed.Load(), Faults: p.faults, Late: p.judge.late}
+	used := p.judge.cold(p.endpoints)
+	r := &Report{Asked: p.asked.Load(), Served: p.served.Load(), Refused: p.refused.Load(), Failed: p.failed.Load(), Faults: p.faults, Late: p.judge.late,
+		Played: p.played, Cold: len(used), Used: slices.Max(append(used, 0))}
 	r.Heard, r.Unheard = p.judge.heard()
 	perSecond := map[int]int{}
 	for _, reg := range p.registry {
@@ -256,6 +296,10 @@
 var effects = map[effect]string{safe: "read_like", keyed: "idempotency_key", unsafe: "non_idempotent"}
 
 func (s *sidecarProcess) configure(registry string, known []discovery.Entry) error {
+	var cold lab.ColdStart
+	if s.Cold != nil {
+		cold = *s.Cold
+	}
 	var cs []scene.Class
 	for _, k := range classes {
 		cs = append(cs, scene.Class{"name": k.name, "effect": effects[k.effect], "key_scope": "cell", "dedup_window_ms": k.window.Milliseconds(),
@@ -263,7 +307,7 @@
 	}
 	text := scene.Configuration(scene.Platform{
 		Name: s.name, Listen: s.listen, Registry: registry, Listed: known, FleetSize: s.FleetSize, Asked: s.Asked, Grace: s.Grace,
-		ConnectTimeout: time.Second, SecondCopies: true, Classes: cs, Sockets: 256, MemoryMB: 96,
+		ConnectTimeout: time.Second, SecondCopies: true, Classes: cs, Sockets: 256, MemoryMB: 96, Cold: cold,
 	})
 	if err := os.WriteFile(s.config+".new", text, 0o600); err != nil {
 		return err
