bench/trial: a seed that broke a rule is shrunk to its smallest form

Seeds that broke a rule were traced by hand among all of their faults. With -shrink N the program plays a seed that broke a rule again with half of the sidecars, half of the time and without some of its faults, and goes on from each form that breaks the same rule, N plays in all. It prints the command of the last form that did; -only names the faults of a course by number. A violation that a hold-up of this machine may be the reason of does not count, and a form that breaks the rule only at times may be passed over: each is played once.

--- a/bench/trial/main.go
+++ b/bench/trial/main.go
@@ -29,8 +29,15 @@
 	dir := flag.String("dir", "", "keeps the logs of seeds that break something; empty: nowhere")
 	beside := flag.Int("beside", 1, "seeds or scenes that are played at once")
 	cold := flag.Bool("cold", false, "endpoints that join are cold, some replace others under a burst, and what they are sent is judged")
+	only := flag.String("only", "all", "numbers of the faults of random courses that are played, as course.txt has them")
+	most := flag.Int("shrink", 0, "plays in which the form of a seed that broke a rule is made smaller, as long as it breaks it")
 	flag.Parse()
-	c := trial.Config{Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: 3, Grace: time.Second, Lasts: *lasts, Seed: *first}
+	numbers, err := parseNumbers(*only)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "trial:", err)
+		os.Exit(2)
+	}
+	c := trial.Config{Only: numbers, Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: 3, Grace: time.Second, Lasts: *lasts, Seed: *first}
 	var courses []trial.Config
 	if *scenes {
 		courses = sceneCourses(c)
@@ -44,7 +51,7 @@
 			courses = append(courses, c)
 		}
 	}
-	if playAll(courses, *beside, *dir) > 0 {
+	if playAll(courses, *beside, *dir, *most) > 0 {
 		os.Exit(1)
 	}
 }
@@ -84,8 +91,8 @@
 	return all
 }
 
-// playAll plays courses and returns how many broke something.
-func playAll(courses []trial.Config, beside int, keep string) (failed int) {
+// playAll plays courses and returns how many broke something. It shrinks those in at most so many plays.
+func playAll(courses []trial.Config, beside int, keep string, shrinkIn int) (failed int) {
 	var mu sync.Mutex
 	var going sync.WaitGroup
 	places := make(chan struct{}, beside)
@@ -93,10 +100,13 @@
 		places <- struct{}{}
 		going.Go(func() {
 			defer func() { <-places }()
-			broke := play(c, keep, &mu)
+			broke, r := play(c, keep, &mu)
 			if broke == unsure {
 				fmt.Printf("seed %d: this machine was held up for longer than %v when a time was exceeded, and nothing else was broken; it is played again\n", c.Seed, permit.HoldUp)
-				broke = play(c, keep, &mu)
+				broke, r = play(c, keep, &mu)
+			}
+			if broke == broken && r != nil && shrinkIn > 0 {
+				shrinkCourse(c, r, shrinkIn)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -130,19 +140,19 @@
 	return none
 }
 
-// play plays a course.
-func play(c trial.Config, keep string, out *sync.Mutex) outcome {
+// play plays a course, and prints what came of it.
+func play(c trial.Config, keep string, out *sync.Mutex) (outcome, *trial.Report) {
 	var err error
 	if c.Dir, err = os.MkdirTemp("", "trial-"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return broken
+		return broken, nil
 	}
 	r, err := trial.Run(context.Background(), c)
 	out.Lock()
 	defer out.Unlock()
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", c.Seed, err)
-		return broken
+		return broken, nil
 	}
 	fmt.Printf("seed %d asked %t %s: %d requests, %d served, %d refused, %d failed, %d faults, %d calls, at most %d a second, held up %v at most: %s\n",
 		c.Seed, c.Asked, scene(c, r), r.Asked, r.Served, r.Refused, r.Failed, len(r.Faults), r.Calls, r.MostCalls, r.Worst.Round(time.Millisecond), r.Summary())
@@ -150,7 +160,7 @@
 		os.RemoveAll(c.Dir)
 	}
 	if len(r.Broken) == 0 {
-		return none
+		return none, r
 	}
 	for i, v := range r.Broken {
 		if i == 12 {
@@ -161,7 +171,7 @@
 	if keep != "" {
 		tell(c, r, keep)
 	}
-	return of(r.Broken)
+	return of(r.Broken), r
 }
 
 // scene tells what a scripted course was, and when the drain was written to its sidecars.
--- a/internal/lab/trial/faults.go
+++ b/internal/lab/trial/faults.go
@@ -24,7 +24,8 @@
 	faultGap = 700 * time.Millisecond // the mean between two faults
 	// leastActive is how many endpoints stay listed as active.
 	leastActive = 3
-	quietEnd    = 9 * time.Second // at the end nothing more is broken
+	// QuietEnd is the time at the end of a random course in which nothing more is broken.
+	QuietEnd = 9 * time.Second
 )
 
 func span(rng *rand.Rand, least, most time.Duration) time.Duration {
@@ -78,7 +79,7 @@
 	for _, f := range faults {
 		total += f.often
 	}
-	until := p.begun.Add(p.Lasts - quietEnd)
+	until := p.begun.Add(p.Lasts - QuietEnd)
 	for number := 0; time.Now().Before(until); number++ {
 		if !wait(ctx, time.Duration(p.rng.ExpFloat64()*float64(faultGap))) {
 			return
