--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -37,7 +37,7 @@
 	renewals = "Test(RenewedInTimeThoughCallsAreRefused|RefusedOnceMoreAsDiscoveryComesBack)"
 	watches  = "TestSlowDiscoveryIsHeard"
 
-	starts = "Test(BurstDoesNotPushColdEndpointsOver|ManyMeetReplacedEndpoints|ColdServersAreSparedWhileMostIsTurnedAway|HeldForProbesAndOverItsBudget|PopularKeyDoesNotPushOneColdEndpointOver)"
+	starts = "Test(SavedUpAtMost|CreditThatDrawsLeaveIsSpent|BurstDoesNotPushColdEndpointsOver|ManyMeetReplacedEndpoints|ColdServersAreSparedWhileMostIsTurnedAway|HeldForProbesAndOverItsBudget|PopularKeyDoesNotPushOneColdEndpointOver)"
 
 	// Of what judges sidecars beside kills: the sidecar's, and the judges' own.
 	besideKills  = "TestNothingIsLostBesideKills"
@@ -199,6 +199,15 @@
 	{"policy/slowstart.go", "baseRate * warmth * f.coldShare", "baseRate * warmth * 40", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "math.Min(b.provenPart(), math.Max(1+growth-all.rate, 0)) * work", "2 * work", starts, "TestBurstDoesNotPushColdEndpointsOver"},
 	{"policy/slowstart.go", "fleetBurst/float64(size)", "8+0*float64(size)", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "endpointBurst = 0.5", "endpointBurst = 5.0", starts, "TestSavedUpAtMost"},
+	{"policy/slowstart.go", "fleetBurst, fleetUnused = 12.0, 2.0", "fleetBurst, fleetUnused = 120.0, 2.0", starts, "TestSavedUpAtMost"},
+	{"policy/slowstart.go", "fleetBurst, fleetUnused = 12.0, 2.0", "fleetBurst, fleetUnused = 12.0, 200.0", starts, "TestCreditThatDrawsLeaveIsSpent"},
+	{"policy/slowstart.go", "leastBurst = 0.1", "leastBurst = 5.0", starts, "TestSavedUpAtMost"},
+	{"policy/slowstart.go", "math.Min(by.bucket.tokens+earned, endpointBurst)", "by.bucket.tokens + earned", starts, "TestSavedUpAtMost"},
+	{"policy/slowstart.go", "math.Min(all.tokens+earned, b.fleet.slowStart.burst(b.set.FleetSize))", "all.tokens + earned", starts, "TestSavedUpAtMost"},
+	{"policy/slowstart.go", "s.bucket.tokens >= -endpointDebt && ", "", starts, "TestBurstDoesNotPushColdEndpointsOver"},
+	{"policy/slowstart.go", "	if start.all.tokens < math.Min(waiting, leastBurst) {\n", "	if waiting >= 0 {\n", starts, "TestCreditThatDrawsLeaveIsSpent"},
+	{"policy/slowstart.go", "	if start.all.tokens < math.Min(waiting, leastBurst) {\n", "	if waiting < 0 {\n", starts, "TestCreditThatDrawsLeaveIsSpent"},
 	{"policy/slowstart.go", "s.bucket.tokens >= 0 && than.bucket.tokens >= 0", "true", starts, "TestPopularKeyDoesNotPushOneColdEndpointOver"},
 	{"policy/slowstart.go", "	b.fleet.slowStart.answered += work\n", "", starts, "TestManyMeetReplacedEndpoints"},
 	{"policy/request.go", "ok := func(s *server) bool { return b.maySend(r, s) && b.withinBudget(r, s) }", "ok := func(s *server) bool { return b.maySend(r, s) }", starts, "TestBurstDoesNotPushColdEndpointsOver"},
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -268,6 +268,48 @@
 	}
 }
 
+// What all sidecars save up for a cold endpoint, and may spend in one moment, is within what chance may add
+// to 30 requests, 2 x root of 30 + 2, or a tenth of a request for each sidecar. One alone sends one at once.
+func TestSavedUpAtMost(t *testing.T) {
+	chance := 2*math.Sqrt(30) + 2
+	for _, size := range []int{1, 5, 30, 120, 300} {
+		for _, cold := range []int{1, 8} {
+			b := halfCold(t, cold)
+			b.set.FleetSize = size
+			start := &b.fleet.slowStart
+			for range 2000 {
+				b.adm.pressure = 0.9 // with which cold endpoints earn by what they answer, too
+				answerOf(b, start.cold[0], ms)
+				for range 2 {
+					if saved, most := float64(size)*start.all.tokens/float64(cold), math.Max(chance, 0.1*float64(size)/float64(cold)); saved > most {
+						t.Fatalf("%d sidecars, %d cold endpoints: all save up %.2f requests for each, %.2f at most are expected", size, cold, saved, most)
+					}
+					if alone := start.cold[0].bucket.tokens; alone >= 1 {
+						t.Fatalf("%d sidecars: one saves up %.2f requests for an endpoint, and sends two at once", size, alone)
+					}
+					answerOf(b, b.fleet.servers[cold], ms)
+					b.refillCold(&request{})
+				}
+			}
+		}
+	}
+}
+
+// What draws left was not spent: where all sidecars together have more than two requests for a cold
+// endpoint, the next one goes there.
+func TestCreditThatDrawsLeaveIsSpent(t *testing.T) {
+	for _, size := range []int{1, 30, 300} {
+		b := halfCold(t, 1)
+		b.set.FleetSize = size
+		for _, saved := range []float64{-0.01, 2.1} { // by all
+			b.fleet.slowStart.all.tokens = math.Min(saved/float64(size), 0.1)
+			if spent := b.preferredCold(&request{}, func(*server) bool { return true }) != nil; spent != (saved > 0) {
+				t.Errorf("%d sidecars have %.2f requests for a cold endpoint: spent %t", size, saved, spent)
+			}
+		}
+	}
+}
+
 // A request that waited for probes was sent to a cold endpoint that others had sent its budget meanwhile.
 func TestHeldForProbesAndOverItsBudget(t *testing.T) {
 	set := settings()
