--- a/bench/trial/main.go
+++ b/bench/trial/main.go
@@ -7,12 +7,14 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
+	"spokegw/internal/lab"
 	"spokegw/internal/lab/trial"
 	"spokegw/internal/permit"
 )
@@ -26,8 +28,16 @@
 	lasts := flag.Duration("lasts", 60*time.Second, "of one seed")
 	dir := flag.String("dir", "", "keeps the logs of seeds that break something; empty: nowhere")
 	beside := flag.Int("beside", 1, "seeds or scenes that are played at once")
+	cold := flag.Bool("cold", false, "endpoints that join are cold, some replace others under a burst, and what they are sent is judged")
+	only := flag.String("only", "all", "numbers of the faults of random courses that are played, as course.txt has them")
+	most := flag.Int("shrink", 0, "plays in which the form of a seed that broke a rule is made smaller, as long as it breaks it")
 	flag.Parse()
-	c := trial.Config{Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: 3, Grace: time.Second, Lasts: *lasts, Seed: *first}
+	numbers, err := parseNumbers(*only)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "trial:", err)
+		os.Exit(2)
+	}
+	c := trial.Config{Only: numbers, Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: 3, Grace: time.Second, Lasts: *lasts, Seed: *first}
 	var courses []trial.Config
 	if *scenes {
 		courses = sceneCourses(c)
@@ -35,14 +45,26 @@
 		for i := range *seeds {
 			c.Seed = *first + uint64(i)
 			c.Asked, c.Crowd = c.Seed%2 == 0, c.Seed%5 == 0
+			if *cold {
+				c.Cold = coldStart(c.Seed)
+			}
 			courses = append(courses, c)
 		}
 	}
-	if playAll(courses, *beside, *dir) > 0 {
+	if playAll(courses, *beside, *dir, *most) > 0 {
 		os.Exit(1)
 	}
 }
 
+// coldStart draws what the settings tell of endpoints that have just started, as the platform does.
+func coldStart(seed uint64) *lab.ColdStart {
+	rng := rand.New(rand.NewPCG(seed, 45))
+	return &lab.ColdStart{
+		Time: 5*time.Second + time.Duration(rng.Int64N(int64(15*time.Second))), Least: 0.08 + 0.12*rng.Float64(),
+		Multiple: 3, Span: time.Duration(1+rng.IntN(2)) * time.Second,
+	}
+}
+
 // sceneCourses are all scenes: none to three calls refused, none to two cut off, in both
 // orders, and answers that come at once or late.
 func sceneCourses(c trial.Config) (all []trial.Config) {
@@ -69,8 +91,8 @@
 	return all
 }
 
-// playAll plays courses and returns how many broke something.
-func playAll(courses []trial.Config, beside int, keep string) (failed int) {
+// playAll plays courses and returns how many broke something. It shrinks those in at most so many plays.
+func playAll(courses []trial.Config, beside int, keep string, shrinkIn int) (failed int) {
 	var mu sync.Mutex
 	var going sync.WaitGroup
 	places := make(chan struct{}, beside)
@@ -78,10 +100,13 @@
 		places <- struct{}{}
 		going.Go(func() {
 			defer func() { <-places }()
-			broke := play(c, keep, &mu)
+			broke, r := play(c, keep, &mu)
 			if broke == unsure {
 				fmt.Printf("seed %d: this machine was held up for longer than %v when a time was exceeded, and nothing else was broken; it is played again\n", c.Seed, permit.HoldUp)
-				broke = play(c, keep, &mu)
+				broke, r = play(c, keep, &mu)
+			}
+			if broke == broken && r != nil && shrinkIn > 0 {
+				shrinkCourse(c, r, shrinkIn)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -115,19 +140,19 @@
 	return none
 }
 
-// play plays a course.
-func play(c trial.Config, keep string, out *sync.Mutex) outcome {
+// play plays a course, and prints what came of it.
+func play(c trial.Config, keep string, out *sync.Mutex) (outcome, *trial.Report) {
 	var err error
 	if c.Dir, err = os.MkdirTemp("", "trial-"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return broken
+		return broken, nil
 	}
 	r, err := trial.Run(context.Background(), c)
 	out.Lock()
 	defer out.Unlock()
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", c.Seed, err)
-		return broken
+		return broken, nil
 	}
 	fmt.Printf("seed %d asked %t %s: %d requests, %d served, %d refused, %d failed, %d faults, %d calls, at most %d a second, held up %v at most: %s\n",
 		c.Seed, c.Asked, scene(c, r), r.Asked, r.Served, r.Refused, r.Failed, len(r.Faults), r.Calls, r.MostCalls, r.Worst.Round(time.Millisecond), r.Summary())
@@ -135,7 +160,7 @@
 		os.RemoveAll(c.Dir)
 	}
 	if len(r.Broken) == 0 {
-		return none
+		return none, r
 	}
 	for i, v := range r.Broken {
 		if i == 12 {
@@ -146,14 +171,17 @@
 	if keep != "" {
 		tell(c, r, keep)
 	}
-	return of(r.Broken)
+	return of(r.Broken), r
 }
 
 // scene tells what a scripted course was, and when the drain was written to its sidecars.
 func scene(c trial.Config, r *trial.Report) string {
-	if c.Scene == nil {
+	if c.Scene == nil && c.Cold == nil {
 		return fmt.Sprint(c.Sidecars, " sidecars")
 	}
+	if c.Scene == nil {
+		return fmt.Sprintf("%d sidecars, %d cold endpoints, sent %.2f of what they may be at most", c.Sidecars, r.Cold, r.Used)
+	}
 	worst := trial.Lateness{}
 	for _, l := range r.Late {
 		worst.Last, worst.After = max(worst.Last, l.Last), worst.After+l.After
@@ -169,7 +197,7 @@
 	}
 	text := ""
 	for _, v := range r.Broken {
-		text += fmt.Sprintf("%s: %s\n", v.Rule, v.What)
+		text += fmt.Sprintf("%6.2f %s: %s\n", v.At.Seconds(), v.Rule, v.What)
 	}
 	for _, f := range r.Faults {
 		text += f + "\n"
