policy: a request that tells no cost is charged one at least in slow start

Cause: where requests tell no cost a class's usual answer time stands for their work. A class with little time is answered soon or never in an overload, and answers alone are learnt: it was charged 0.47 of one, while what the others answered earned whole ones and more.

Without a cost a request is charged one at least, and an answer earns one: what is sent is counted for too much where classes differ in work, never for too little.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -238,7 +238,7 @@
 
 // refillByAnswer adds what an answer earns.
 func (b *Balancer) refillByAnswer(r *request, by *server) {
-	work := b.relativeWork(r)
+	work := b.provenWork(r)
 	b.fleet.slowStart.answered += work
 	b.fleet.slowStart.warmPart.add(indicator(!by.isCold(b.now, &b.set)), warmMemory)
 	if by.isCold(b.now, &b.set) {
@@ -262,11 +262,24 @@
 	return !s.isCold(b.now, &b.set) || start.coldShare > mostlyCold || start.warmPart.value < fewWarm
 }
 
-// relativeWork is a request's work over the mean.
+// relativeWork is a request's work over the mean, as it is charged. Where it tells no cost its class's usual answer time
+// stands for the work, which in an overload is short for a class that is answered soon or never: it counts as one at least.
 func (b *Balancer) relativeWork(r *request) float64 {
 	mean, its := b.meanTime(), b.expected(r)
 	if mean <= 0 || its <= 0 {
 		return 1
 	}
-	return math.Min(math.Max(its/mean, leastWork), mostWork)
+	work := math.Min(math.Max(its/mean, leastWork), mostWork)
+	if r.Cost <= 0 {
+		return math.Max(work, 1)
+	}
+	return work
+}
+
+// provenWork is the work over the mean that an answer proves to have been done.
+func (b *Balancer) provenWork(r *request) float64 {
+	if r.Cost <= 0 {
+		return 1
+	}
+	return b.relativeWork(r)
 }
