front/http1: a request that has been read is not closed to make room before it is taken

What callers saw: with as many connections open as there is room for, new connections ended with no answer (EOF) though their request had been sent whole and read. internal/sidecar TestMoveTakenOn failed so on a machine short of processors.

Cause: connTable.evict takes a connection that has begun its first request and not been taken for one whose request is still coming in. Between the read and take() the request is parsed and the core asked, and the reader may wait for a processor in between. A read is also noted only after it, so a connection just read from was taken for a silent or a resting one.

Change: the reader notes under the connection's mutex, together with the read, that something came and whether the head stands whole; a body that is still to come takes it back until its end. Eviction looks at a connection under that mutex, leaves it where the reader holds it, and has the mark of eviction set before the reader may read more. Slow senders of a first request are closed as before. Connections handed to net/http's server have the mark set after the read, not with it.

Measured: TestReadRequestIsNotEvicted failed before (`0 ""` for 200) and passes 20 of 20 with -race; the packages below internal/front pass with -race.

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -43,12 +43,13 @@
 	resting atomic.Bool  // it has had an answer and nothing came since
 	busy    bool         // a request has been taken and is not answered in full
 
-	mu     sync.Mutex // of ending, and of what it goes by: heard, resting and spoken; and of where serving and extra meet
+	mu     sync.Mutex // of ending, and of what it goes by: heard, resting and spoken; of asked; and of where serving and extra meet
 	ending bool       // a read that waits is called off: the connection is to end
 	spoken bool       // something came since the latest answer began
 
+	asked    bool // its first request has come whole, or all of it that could
 	answered bool // its first request has been
-	evicted  bool
+	evicted  bool // set under mu and the table's, read under either
 }
 
 var errHeadTooLong = errors.New("the head is too long")
@@ -60,7 +61,9 @@
 				b = b[:min(int64(len(b)), c.left)]
 			}
 			n, err := c.receive(b)
-			c.left -= int64(n)
+			if c.left -= int64(n); n > 0 && !c.through && c.left == 0 {
+				c.setAsked(true)
+			}
 			if n > 0 && c.whole.Load() && c.cameTooSoon() {
 				return 0, c.awaitClose()
 			}
@@ -257,7 +260,7 @@
 	c.extra.Store(false)
 	c.whole.Store(false)
 	c.follows(c.serving.Swap(true)) // not answered yet, and here is the next
-	if c.through {
+	if c.setAsked(wrong != nil); c.through {
 		return err
 	}
 	c.left = max(h.Length, 0)
@@ -269,9 +272,17 @@
 		body = c.left
 	}
 	c.left -= body
+	c.setAsked(c.left == 0)
 	return err
 }
 
+// setAsked notes whether the first request has come whole.
+func (c *clientConn) setAsked(whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = whole
+}
+
 // follows notes that something came behind the request being served, if it did:
 // unless clients may send ahead, it has no business there.
 func (c *clientConn) follows(did bool) {
--- a/internal/front/http1/conntable.go
+++ b/internal/front/http1/conntable.go
@@ -96,13 +96,6 @@
 	}
 }
 
-// close takes c out of the table and closes it.
-func (t *connTable) close(c *clientConn) {
-	c.evicted = true
-	t.remove(c)
-	c.TCPConn.Close()
-}
-
 func (t *connTable) remove(c *clientConn) {
 	if _, ok := t.conns[c]; ok && c.answered {
 		t.kept--
@@ -149,43 +142,55 @@
 // one unmoved for longest. A crowd that is silent, or slow, so closes itself and
 // not the connections of those who use theirs.
 //
-// Requests taken are safe, and so is what a later request of a connection has
-// said so far: once it has been read, closing loses it. What waits unread is
-// left alone too. With nothing else there it reports false.
+// Requests that have come whole are safe, whether or not they have been taken,
+// and so is what a later request of a connection has said so far: once it has
+// been read, closing loses it. What waits unread is left alone too. With nothing
+// else there it reports false.
 func (t *connTable) evict() bool {
 	long := int64(front.Now() - t.rest)
-	var worst *clientConn
+	var worst *clientConn // locked
 	least := 0
 	for c := range t.conns {
-		if !c.mayClose(permit.Close{Answering: c.busy}) {
-			continue
-		}
-		worth := 2
-		switch resting := c.resting.Load(); {
-		case !c.heard.Load():
-			worth = 0
-		case resting && c.moved.Load() < long:
-			worth = 1
-		case resting:
-			worth = 3
-		case c.answered:
-			continue
+		if !c.mu.TryLock() {
+			continue // something is being read from it
 		}
-		if worst != nil && (worth > least || worth == least && c.moved.Load() >= worst.moved.Load()) {
+		worth, may := c.worth(long)
+		if !may || worst != nil && (worth > least || worth == least && c.moved.Load() >= worst.moved.Load()) ||
+			!c.mayClose(permit.Close{Waiting: worth != 2 && c.readable()}) { // its request is here and only has not been looked at
+			c.mu.Unlock()
 			continue
 		}
-		if !c.mayClose(permit.Close{Waiting: worth != 2 && c.readable()}) {
-			continue // its request is here and only has not been looked at
+		if worst != nil {
+			worst.mu.Unlock()
 		}
 		worst, least = c, worth
 	}
 	if worst == nil {
 		return false
 	}
-	t.close(worst)
+	worst.evicted = true
+	worst.mu.Unlock()
+	t.remove(worst)
+	worst.TCPConn.Close() // which waits for its reader
 	return true
 }
 
+// worth is what the connection is worth to its client, and whether it may be closed to
+// make room; long is when those that have rested long last moved. Its mu is held, and the table's.
+func (c *clientConn) worth(long int64) (worth int, may bool) {
+	switch resting := c.resting.Load(); {
+	case !c.mayClose(permit.Close{Answering: c.busy}):
+		return 0, false
+	case !c.heard.Load():
+		return 0, true
+	case resting && c.moved.Load() < long:
+		return 1, true
+	case resting:
+		return 3, true
+	}
+	return 2, !c.answered && c.mayClose(permit.Close{Answering: c.asked})
+}
+
 // state follows the server's connections: idle ones have had their answer
 // written, closed ones are gone.
 func (t *connTable) state(nc net.Conn, state http.ConnState) {
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -230,7 +230,7 @@
 		p.head = p.pooled[:0]
 	}
 	for {
-		p.n, p.err = syscall.Read(int(fd), p.head[len(p.head):cap(p.head)])
+		p.n, p.err = p.readNow(fd)
 		if p.err != syscall.EINTR {
 			break
 		}
@@ -250,6 +250,24 @@
 	return false
 }
 
+// readNow reads without waiting. That something was read is noted along with it: in
+// between, the connection would be taken for one that is silent or rests.
+func (p *plain) readNow(fd uintptr) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.evicted {
+		return 0, nil
+	}
+	n, err := syscall.Read(int(fd), p.head[len(p.head):cap(p.head)])
+	if n > 0 {
+		p.spoken = true
+		p.heard.Store(true)
+		p.resting.Store(false)
+		p.asked = framing.End(p.head[:len(p.head)+n]) > 0
+	}
+	return n, err
+}
+
 // handOver gives the connection to net/http's server with what has been read of it.
 func (p *plain) handOver() bool {
 	head := slices.Clone(p.head)
@@ -277,6 +295,9 @@
 		return p.refuse(refused, body, req.Close)
 	}
 	p.taken = x
+	if length > int64(len(body.here)) {
+		p.setAsked(false)
+	}
 	held, err := body.whole(x)
 	if err != nil {
 		a := front.NotWhole(err)
@@ -397,7 +418,9 @@
 			err = io.ErrUnexpectedEOF
 		}
 	}
-	b.left -= int64(n)
+	if b.left -= int64(n); b.left == 0 {
+		b.p.setAsked(true)
+	}
 	return n, err
 }
 
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -261,6 +261,44 @@
 	}
 }
 
+// heldDoor lets all in, once it is opened.
+type heldDoor struct {
+	asked  chan string
+	opened chan bool
+}
+
+func (d *heldDoor) Judges() bool { return true }
+
+func (d *heldDoor) Judge(target string) (bool, time.Duration) {
+	d.asked <- target
+	<-d.opened
+	return false, 0
+}
+
+// A first request that has been read whole and waits to be taken is not closed to make room.
+func TestReadRequestIsNotEvicted(t *testing.T) {
+	door := &heldDoor{asked: make(chan string, 2), opened: make(chan bool)}
+	s := startWith(t, Config{Limit: 1, Crowd: 1, Door: door}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	first := dial(t, s)
+	io.WriteString(first, tile("first"))
+	<-door.asked
+	second := dial(t, s)
+	io.WriteString(second, tile("second"))
+	shut := make(chan bool)
+	go func() {
+		second.Read(make([]byte, 1))
+		close(shut)
+	}()
+	select {
+	case <-door.asked: // it has the first one's place
+	case <-shut:
+	}
+	close(door.opened)
+	if status, body := read(t, first); status != 200 || body != "first" {
+		t.Errorf("%d %q", status, body)
+	}
+}
+
 // What follows a request that is being served ends the connection with its answer, and
 // goes nowhere.
 func TestFollowsTooSoon(t *testing.T) {
