front/http1: a connection for which there is no room waits for it and is not shut unread

What callers saw: with every place held by a request under way, new connections were closed with what they had sent unread, which their clients saw as a reset with no answer. Since requests that have been read are no longer closed to make room that comes more often.

Change: the listener holds the one connection that it has accepted and asks again for room, each 5 ms, as after an error; those behind it wait in the system's queue, which is bounded. All that are in the table then have a request under way, which ends within its time. Where the listener is closed meanwhile it is shut as before.

--- a/internal/front/http1/listener.go
+++ b/internal/front/http1/listener.go
@@ -134,9 +134,32 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if c := l.add(nc); c != nil {
+		if c := l.place(nc); c != nil {
 			return c, nil
 		}
-		nc.Close()
 	}
 }
+
+// place waits for room in the table: all that are there have a request under way, which
+// ends within its time, and a client that was shut unread would have no answer at all. Who
+// comes behind waits in the system's queue. It returns nil where the listener is closed
+// before there is room. It could do harm where clients have somewhere else to go and would
+// rather be shut at once.
+func (l *listener) place(nc *net.TCPConn) *clientConn {
+	for {
+		if c := l.add(nc); c != nil {
+			return c
+		}
+		if l.isClosed() {
+			nc.Close()
+			return nil
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
+func (l *listener) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -275,7 +275,8 @@
 	return false, 0
 }
 
-// A first request that has been read whole and waits to be taken is not closed to make room.
+// A first request that has been read whole and waits to be taken is not closed to make room,
+// and who comes while there is none is not shut unread.
 func TestReadRequestIsNotEvicted(t *testing.T) {
 	door := &heldDoor{asked: make(chan string, 2), opened: make(chan bool)}
 	s := startWith(t, Config{Limit: 1, Crowd: 1, Door: door}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
@@ -284,18 +285,16 @@
 	<-door.asked
 	second := dial(t, s)
 	io.WriteString(second, tile("second"))
-	shut := make(chan bool)
-	go func() {
-		second.Read(make([]byte, 1))
-		close(shut)
-	}()
-	select {
-	case <-door.asked: // it has the first one's place
-	case <-shut:
+	for full := false; !full; runtime.Gosched() { // the second has asked for room
+		s.conns.mu.Lock()
+		full = s.conns.full
+		s.conns.mu.Unlock()
 	}
 	close(door.opened)
-	if status, body := read(t, first); status != 200 || body != "first" {
-		t.Errorf("%d %q", status, body)
+	for want, c := range map[string]net.Conn{"first": first, "second": second} {
+		if status, body := read(t, c); status != 200 || body != want {
+			t.Errorf("%d %q, and not %q", status, body, want)
+		}
 	}
 }
 
