broker: what is out since before a hold-up is not taken for a queue after it

What callers saw: refused, 503 "over the share of the contract", right after the process had been held up, though what endpoints were sent since was answered at once.

Cause: what is out when a process is held up tells nothing, which a flag said up to the first window that is judged after it. From then on all of it was held against the estimate.

Change: the work and attempts that are out at a hold-up are kept apart until they end, and only what came since makes a crowd and its queue. Windows that are judged by answers that waited are as before, and so is what is shared out once there is too little.

TestBacklogOfAHoldUp failed before (`too little capacity after 210ms`, 401 attempts out). internal/broker and internal/core pass with -race.

--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -29,6 +29,7 @@
 	tight    bool          // there is too little for all: shares are enforced
 	out      float64       // work of the attempts that are out
 	attempts float64       // that are out
+	behind   backlog       // of those, what has been out since before the process was last held up
 
 	// The window that is open: a tenth of a second, or more where little comes.
 	opened  time.Duration
@@ -45,6 +46,9 @@
 	classes []usual
 }
 
+// backlog is work that is out, of so many attempts.
+type backlog struct{ work, attempts float64 }
+
 // usual is what answers of a class take when they do not wait: a low quantile
 // of their time over their work, followed in the log.
 type usual struct {
@@ -111,7 +115,12 @@
 
 // queue is how long an attempt would wait now, in seconds, by the work that is
 // out.
-func (c *capacity) queue() float64 { return math.Max(c.out/c.estimate-c.usual.value, 0) }
+func (c *capacity) queue() float64 { return c.wait(c.out) }
+
+// wait is that by so much work.
+func (c *capacity) wait(work float64) float64 {
+	return math.Max(work/c.estimate-c.usual.value, 0)
+}
 
 // begun takes an attempt that goes out.
 func (c *capacity) begun(now time.Duration, work float64) {
@@ -119,17 +128,19 @@
 		c.open(now)
 	}
 	c.out += work
-	if c.attempts++; c.attempts == crowd {
+	c.attempts++
+	attempts := c.attempts - c.behind.attempts
+	if attempts == crowd {
 		c.crowded = now
 	}
 	switch {
-	case c.tight || c.attempts < crowd || c.blind >= 0: // what came while the process was held up is out all at once
+	case c.tight || attempts < crowd || c.blind >= 0: // what came while the process was held up is out all at once
 	case math.IsInf(c.estimate, 1):
-		if c.attempts >= coldCrowd {
+		if attempts >= coldCrowd {
 			c.estimate, c.guess, c.seeking = leastRate, true, true
 			c.tighten()
 		}
-	case now-c.crowded > seconds(stands*c.aim.value) && c.queue() > farTooMuch*c.aim.value:
+	case now-c.crowded > seconds(stands*c.aim.value) && c.wait(c.out-c.behind.work) > farTooMuch*c.aim.value:
 		c.tighten()
 	}
 }
@@ -139,6 +150,7 @@
 // nor what was out. Where no window can be judged for long, shares are not enforced
 // any more: nobody knows of too little.
 func (c *capacity) hold(now time.Duration) {
+	c.behind = backlog{c.out, c.attempts}
 	if c.heldUp = now; c.blind < 0 {
 		c.blind = now
 	}
@@ -157,6 +169,11 @@
 		c.attempts, c.out, c.emptied = 0, 0, now // rounding errors do not pile up
 	}
 	c.out = math.Max(c.out-t.work, 0)
+	if t.admitted <= c.heldUp {
+		c.behind.attempts = math.Max(c.behind.attempts-1, 0)
+		c.behind.work = math.Max(c.behind.work-t.work, 0)
+	}
+	c.behind = backlog{math.Min(c.behind.work, c.out), math.Min(c.behind.attempts, c.attempts)}
 	if now-elapsed <= c.heldUp || t.admitted <= c.heldUp { // it waited for this process
 		return false
 	}
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -137,6 +137,25 @@
 	}
 }
 
+// What is out since before the process was held up is not taken for a queue as soon as one
+// window of what came later has been judged.
+func TestBacklogOfAHoldUp(t *testing.T) {
+	const ms = time.Millisecond
+	b := New(0, Terms{Classes: 1, Strangers: &Contract{Share: 1, Calls: []Call{{Classes: AllClasses}}}})
+	b.HeldUp(ms)
+	for range 400 {
+		b.Admit(2*ms, "nobody", 0, 0.02)
+	}
+	b.HeldUp(100 * ms)
+	for now := 110 * ms; now < 300*ms; now += 10 * ms {
+		ticket, v := b.Admit(now, "nobody", 0, 0.02)
+		if v.Kind != Admitted || b.capacity.tight {
+			t.Fatalf("too little capacity after %v: %+v", now, b.capacity)
+		}
+		b.Ended(now+2*ms, &ticket, false, Answered, 2*ms, 4*time.Second)
+	}
+}
+
 // Few answers are read and many requests are sent in the first moments of a sidecar: that is
 // no lack while what is out is answered before it is old.
 func TestCrowdThatDoesNotStand(t *testing.T) {
