--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -261,6 +261,43 @@
 	}
 }
 
+// heldDoor lets all in, once it is opened.
+type heldDoor struct {
+	asked  chan string
+	opened chan bool
+}
+
+func (d *heldDoor) Judges() bool { return true }
+
+func (d *heldDoor) Judge(target string) (bool, time.Duration) {
+	d.asked <- target
+	<-d.opened
+	return false, 0
+}
+
+// A first request that has been read whole and waits to be taken is not closed to make room,
+// and who comes while there is none is not shut unread.
+func TestReadRequestIsNotEvicted(t *testing.T) {
+	door := &heldDoor{asked: make(chan string, 2), opened: make(chan bool)}
+	s := startWith(t, Config{Limit: 1, Crowd: 1, Door: door}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	first := dial(t, s)
+	io.WriteString(first, tile("first"))
+	<-door.asked
+	second := dial(t, s)
+	io.WriteString(second, tile("second"))
+	for full := false; !full; runtime.Gosched() { // the second has asked for room
+		s.conns.mu.Lock()
+		full = s.conns.full
+		s.conns.mu.Unlock()
+	}
+	close(door.opened)
+	for want, c := range map[string]net.Conn{"first": first, "second": second} {
+		if status, body := read(t, c); status != 200 || body != want {
+			t.Errorf("%d %q, and not %q", status, body, want)
+		}
+	}
+}
+
 // What follows a request that is being served ends the connection with its answer, and
 // goes nowhere.
 func TestFollowsTooSoon(t *testing.T) {
