front/http1: no room is made over the rest of a first request that waits unread

A connection whose first request had come in part was closed to make room though the rest of it waited in the socket: its sender is not slow, the process is, and the client met a reset.

What waits unread is left alone now whatever the connection is worth, as for the others.

TestRestOfARequestWaitsAsRoomIsMade failed before (it is closed over what waits).

--- a/internal/front/http1/conntable.go
+++ b/internal/front/http1/conntable.go
@@ -156,7 +156,7 @@
 		}
 		worth, may := c.worth(long)
 		if !may || worst != nil && (worth > least || worth == least && c.moved.Load() >= worst.moved.Load()) ||
-			!c.mayClose(permit.Close{Waiting: worth != 2 && c.readable()}) { // its request is here and only has not been looked at
+			!c.mayClose(permit.Close{Waiting: c.readable()}) { // its request is here and only has not been looked at
 			c.mu.Unlock()
 			continue
 		}
--- a/internal/front/http1/plain_test.go
+++ b/internal/front/http1/plain_test.go
@@ -298,6 +298,34 @@
 	}
 }
 
+// The rest of a first request waits unread as room is needed: its sender is not slow.
+func TestRestOfARequestWaitsAsRoomIsMade(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	c := newConnTable(1, 1).add(nc.(*net.TCPConn))
+	c.heard.Store(true)
+	io.WriteString(client, "the rest")
+	for !c.readable() {
+		runtime.Gosched()
+	}
+	if c.table.evict() {
+		t.Error("it is closed over what waits")
+	}
+}
+
 // What follows a request that is being served ends the connection with its answer, and
 // goes nowhere.
 func TestFollowsTooSoon(t *testing.T) {
