front/http1: a request's time counts from when the system had it, not from when it was read

Cause: the time of a request counted from the read. Now it counts from when its last byte came, as the system tells (TCP_INFO, tcpi_last_data_recv, in ms): what comes behind it can only make that later, so no time is taken off that was left.

By HTTP/3 and net/http's server it is as it was.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -235,8 +235,8 @@
 	return x.Do(ctx, held)
 }
 
-// Came notes that the request has come whole just now: its time counts from then.
-func (x *Exchange) Came() { x.came = time.Now() }
+// Came notes that the request had come whole so long ago: its time counts from then.
+func (x *Exchange) Came(ago time.Duration) { x.came = time.Now().Add(-ago) }
 
 // Do has the request answered, which has come whole just now unless Came was called. It returns
 // ErrGone, and no answer, if ctx ends, or Leave is called, before there is one.
@@ -252,7 +252,7 @@
 	}
 	x.place.count.Take()
 	if x.came.IsZero() {
-		x.Came()
+		x.Came(0)
 	}
 	x.request.Left -= answerMargin
 	patience := x.request.Left
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -147,7 +147,7 @@
 			}
 		}
 		x := openOrder(t, c, "1", nil)
-		x.Came()
+		x.Came(0)
 		latest := time.Now().Add(x.request.Left)
 		if !decided {
 			<-time.After(pause)
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -17,6 +17,7 @@
 	"spokegw/internal/core"
 	"spokegw/internal/framing"
 	"spokegw/internal/front"
+	"spokegw/internal/peek"
 )
 
 // mostPlain is the longest body, in bytes, that is read here. Longer ones may have to be
@@ -36,13 +37,15 @@
 	server  *Server
 	raw     syscall.RawConn
 	look    func(fd uintptr) bool // read, made once
-	n       int                   // what read has read, and
-	err     error                 // why it could not
-	full    bool                  // it filled the buffer: there may be more
-	done    chan bool             // of the request that is served: whether its connection is kept
-	serves  bool                  // there is one, as the reader knows
-	waiting job                   // a request that is handed to a worker once nothing is left to be read; its x is nil where there is none
-	taken   *core.Exchange        // neither dropped nor handed to a worker yet; nil: none is
+	age     func(fd uintptr)      // that of what came last, made once, which is noted in
+	waited  time.Duration
+	n       int            // what read has read, and
+	err     error          // why it could not
+	full    bool           // it filled the buffer: there may be more
+	done    chan bool      // of the request that is served: whether its connection is kept
+	serves  bool           // there is one, as the reader knows
+	waiting job            // a request that is handed to a worker once nothing is left to be read; its x is nil where there is none
+	taken   *core.Exchange // neither dropped nor handed to a worker yet; nil: none is
 
 	// Guarded by clientConn.mu.
 	left bool           // the client has left
@@ -54,6 +57,7 @@
 func (s *Server) serve(c *clientConn) {
 	p := &plain{clientConn: c, server: s, done: make(chan bool, 1)}
 	p.look = p.read
+	p.age = func(fd uintptr) { p.waited = peek.SinceData(fd) }
 	handed := false
 	defer func() {
 		if p.taken != nil { // after a panic
@@ -304,7 +308,7 @@
 		p.drop(a)
 		return p.refuse(a, body, true)
 	}
-	x.Came()
+	x.Came(p.unread())
 	if p.extra.Load() || p.full && p.readable() {
 		p.drop(nil)
 		return p.write(followsTooSoon(), true)
@@ -360,6 +364,14 @@
 	}
 }
 
+// unread is how long what came last has waited to be read: the process may have stood still.
+func (p *plain) unread() time.Duration {
+	if p.raw.Control(p.age) != nil {
+		return 0
+	}
+	return p.waited
+}
+
 // refuse answers a request whose body may still be to come. The answer goes out at once;
 // what is to come is then read and dropped, so that the connection can be kept.
 func (p *plain) refuse(a *core.Answer, b *plainBody, last bool) (kept bool) {
