policy: slow start counts requests by the costs that they tell, not by how long they take

Cause, the same as of requests that tell no cost: the told cost was multiplied by the usual answer time of its class. A heavy class with little time is answered soon or never, so it counted as 0.46 of a request while those with half its work, which may wait, counted as 1.23, as they earn too.

TestToldCostIsTheWork failed before (1.23 and 0.46) and passes.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -66,6 +66,7 @@
 	waiting  []*request    // held until their pair is probed
 	times    []classTime   // by class
 	gap      mean          // between arrivals, s
+	cost     mean          // that requests tell, s
 	lastIn   time.Duration // latest arrival
 	keys     keyCounts
 	home     uint64 // key of the servers this client keeps connections to
--- a/policy/request.go
+++ b/policy/request.go
@@ -105,6 +105,9 @@
 		b.finish(r)
 		return b.actions
 	}
+	if q.Cost > 0 {
+		b.cost.add(q.Cost, sampleMemory)
+	}
 	if b.set.WarmKeys && r.Key != "" {
 		r.key = hashKey(r.Key)
 		r.keyShare = b.keys.add(r.key)
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -262,18 +262,18 @@
 	return !s.isCold(b.now, &b.set) || start.coldShare > mostlyCold || start.warmPart.value < fewWarm
 }
 
-// relativeWork is a request's work over the mean, as it is charged. Where it tells no cost its class's usual answer time
-// stands for the work, which in an overload is short for a class that is answered soon or never: it counts as one at least.
+// relativeWork is a request's work over the mean, as it is charged: by the costs that requests tell. Where it tells none its
+// class's usual answer time stands for the work, which in an overload is short for a class that is answered soon or never:
+// it counts as one at least.
 func (b *Balancer) relativeWork(r *request) float64 {
+	if r.Cost > 0 {
+		return math.Min(math.Max(r.Cost/b.cost.value, leastWork), mostWork)
+	}
 	mean, its := b.meanTime(), b.expected(r)
 	if mean <= 0 || its <= 0 {
 		return 1
 	}
-	work := math.Min(math.Max(its/mean, leastWork), mostWork)
-	if r.Cost <= 0 {
-		return math.Max(work, 1)
-	}
-	return work
+	return math.Min(math.Max(its/mean, 1), mostWork)
 }
 
 // provenWork is the work over the mean that an answer proves to have been done.
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -544,3 +544,41 @@
 		t.Errorf("of one, and up to %v: %v", most, gains)
 	}
 }
+
+// Requests that tell twice the cost of others counted for less than those, where they have little time.
+func TestToldCostIsTheWork(t *testing.T) {
+	b := halfCold(t, 5)
+	warm, costs := b.fleet.servers[5], [2]float64{0.01, 0.02}
+	requests := [2]*request{}
+	for class := range requests {
+		requests[class] = &request{Request: Request{Class: class, Left: 60 * ms, Cost: costs[class]}, arrived: b.now}
+	}
+	for i := range 200 { // each of which waits for 0 to 199 ms; those that may wait are answered
+		class, takes := i%2, time.Duration(i*37%200)*ms+10*ms
+		b.Request(b.now, Request{ID: RequestID(1000 + i), Class: class, Left: time.Second, Cost: costs[class]})
+		o := Outcome{Endpoint: warm.ID, Result: Served, Complete: true, Elapsed: takes}
+		if class == 1 && takes > 60*ms {
+			o.Result, o.Elapsed = NoAnswer, 60*ms
+		}
+		b.learn(requests[class], &attempt{server: warm, sent: b.now, open: true}, o)
+	}
+	if light, heavy := b.relativeWork(requests[0]), b.relativeWork(requests[1]); heavy < 1.9*light {
+		t.Errorf("requests of 10 and 20 ms count as %.2f and %.2f", light, heavy)
+	}
+}
+
+// In an overload that lasts a class with little time counts for little work: all sidecars together send
+// a cold endpoint more than it may be sent.
+func TestLastingOverloadDoesNotPushColdEndpointsOver(t *testing.T) {
+	deadline, work := manyClasses[1].Deadline, manyWork
+	manyClasses[1].Deadline, manyWork = 100*time.Millisecond, [2]time.Duration{10 * time.Millisecond, 20 * time.Millisecond}
+	defer func() { manyClasses[1].Deadline, manyWork = deadline, work }()
+	for seed := range uint64(20) {
+		c := newColdFleet(t, 300, 20, seed)
+		toldOver(0)(c, t)
+		c.runAt(func(time.Duration) float64 { return 1.8 * c.capacity(c.now) }, 10*time.Second)
+		if used := c.used(); used > 1 {
+			t.Errorf("%.2f of the budget was used", used)
+		}
+	}
+}
