--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -243,8 +243,8 @@
 }
 
 // longest bounds the times that a note may tell, against a process that is not
-// well.
-const longest = time.Hour
+// well. Windows may be as long as a day.
+const longest = 30 * 24 * time.Hour
 
 // Adopt takes a note of another process. Its effect is taken to have run: whether
 // it did is not told any more. What can't be meant is left out. What has been claimed here goes
--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -122,6 +122,17 @@
 	}
 }
 
+// A note of a key with a long window was dropped, and the key sent to another cell as well.
+func TestLongWindowIsAdopted(t *testing.T) {
+	for _, window := range []time.Duration{time.Hour, 24 * time.Hour} {
+		table := New()
+		table.Adopt(0, Note{Key: 9, Scope: policy.ScopeCell, Cell: 3, Window: window, Left: window + time.Minute})
+		if e, known := table.Find(time.Minute, 9); !known || e.Allows(time.Minute, in(4)) {
+			t.Errorf("a window of %v: known %v", window, known)
+		}
+	}
+}
+
 // Beside a plain list that is gone through for every question, and never over the
 // bound.
 func TestAgainstPlain(t *testing.T) {
