lab: a request asks again by a connection made between its first send and its second

A keyed request whose resting connection ends unread is sent again, but only by connections made before the request was: one that was made for another request since, and rests as the second send takes it, ended it with no answer.

What counts now is that the connection was there before the send began. No endpoint may have the request, as before, and the judge is as it was. What failed is told with its history: sends, the latest disturbance, whether it was reached.

--- a/internal/lab/federation/client.go
+++ b/internal/lab/federation/client.go
@@ -144,8 +144,24 @@
 	return s
 }
 
+// history tells of a request, from when it was asked for, when its connections were made and it was sent, when what was done
+// to its process last began, and whether an endpoint got it.
+func (g *Gateway) history(r *lab.Result) (text string) {
+	since := func(t time.Time) time.Duration { return t.Sub(r.At).Round(time.Millisecond) }
+	for _, s := range r.Sends {
+		text += fmt.Sprintf(", made %v sent %v", since(s.Made), since(s.At))
+	}
+	for _, d := range slices.Backward(g.done.All()) {
+		if d.From.Before(r.End()) {
+			text += fmt.Sprintf(", cause %d from %v", d.Cause, since(d.From))
+			break
+		}
+	}
+	return text + fmt.Sprintf(", ended %v, reached: %t", r.Took.Round(time.Millisecond), g.of.reached(r.ID, time.Now()))
+}
+
 // Unexpected tells what Tally counts as Other and Failed: how many by half second, gateway, status, how
-// it ended, sends and time taken, 200 lines at most.
+// it ended, sends and time taken, and the history of what failed, 200 lines at most.
 func (f *Federation) Unexpected() string {
 	counts := map[string]int{}
 	f.judged(func(g *Gateway, r *lab.Result, v verdict) {
@@ -153,7 +169,11 @@
 			return
 		}
 		at := r.At.Sub(f.begun).Round(500 * time.Millisecond)
-		counts[fmt.Sprintf("%5.1fs %s %d %v, %d sends, %s", at.Seconds(), g.Name, r.Status, r.Ending, len(r.Sends), r.Took.Round(200*time.Millisecond))]++
+		line := fmt.Sprintf("%5.1fs %s %d %v, %d sends, %s", at.Seconds(), g.Name, r.Status, r.Ending, len(r.Sends), r.Took.Round(200*time.Millisecond))
+		if v == failed {
+			line += g.history(r)
+		}
+		counts[line]++
 	})
 	lines := slices.Sorted(maps.Keys(counts))
 	for i, l := range lines {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -213,10 +213,12 @@
 	if l.Traced || l.Again != nil {
 		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sends.got}))
 	}
+	begun := r.At
 	resp, err := client.Do(req)
 	// There may be several resting connections, which a gateway that ends closes all at once.
-	for tries := 1; err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && sends.byResting(tries, r.At) && l.Again(r.ID, r.At); tries++ {
+	for tries := 1; err != nil && ctx.Err() == nil && l.Keyed && l.Again != nil && sends.byResting(tries, begun) && l.Again(r.ID, r.At); tries++ {
 		req.Body, _ = req.GetBody()
+		begun = time.Now()
 		resp, err = client.Do(req)
 	}
 	if err == nil {
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -102,3 +102,36 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A request that met the end of a resting connection was sent next on one that had been made meanwhile, which ended, too:
+// it had no answer.
+func TestLoadAsksAgainByAConnectionMadeMeanwhile(t *testing.T) {
+	var requests atomic.Int64
+	waits, made, ended := make(chan bool), make(chan bool), make(chan bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch requests.Add(1) {
+		case 2: // on the connection that rested
+			close(waits)
+			<-made
+			panic(http.ErrAbortHandler)
+		case 4: // on the one made meanwhile
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	load := &Load{Method: http.MethodPost, Path: "/status-report", Keyed: true, Give: 10 * time.Second, Again: func(string, time.Time) bool { return true }}
+	client := load.client()
+	defer client.CloseIdleConnections()
+	addr := server.Listener.Addr().String()
+	load.ask(client, addr)
+	go func() {
+		defer close(ended)
+		if r := load.ask(client, addr); r.Status != http.StatusOK || len(r.Sends) != 3 {
+			t.Errorf("%+v", r)
+		}
+	}()
+	<-waits
+	load.ask(client, addr)
+	close(made)
+	<-ended
+}
--- a/internal/lab/send.go
+++ b/internal/lab/send.go
@@ -50,10 +50,10 @@
 }
 
 // byResting reports whether a request has been sent so often, the last time by a connection that had been
-// made before the request.
-func (s *sends) byResting(times int, request time.Time) bool {
+// made before that send began.
+func (s *sends) byResting(times int, begun time.Time) bool {
 	all := s.taken()
-	return len(all) == times && all[times-1].Made.Before(request)
+	return len(all) == times && all[times-1].Made.Before(begun)
 }
 
 // closedIdle is the text of an error that package http has no name for: the other side closed a
