broker: a burst's queue is no lack of capacity before it is seen to stand

Callers of sidecars with contracts were refused, 503 "over the share of the contract", though all endpoints had room for half as much again and answered in a third of the wanted time.

Cause: answers that waited a quarter of the wanted time, in one window of eight, were taken for too little capacity. Where many sidecars stand still together, what came meanwhile goes out together, and the queue that this leaves at the endpoints is real, but gone in half a second. Shares were enforced by it, at an estimate of what one sidecar got out of that queue (0.09 to 0.6 s of work a second, where it asks for 0.23); the next hold-up kept that in force, as no window could be judged, and what came in it was refused as it went on.

Change: answers that waited so much tell of a queue; that it stands is told by requests which are sent after that. Half of the wanted time counts at once, as it does by the work that is out. A hold-up makes what was seen before it old.

The tests of real lacks of capacity pass as they are.

--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -7,13 +7,14 @@
 
 // capacity learns how much work a second the service does for this sidecar. No
 // endpoint tells, other sidecars take their part unseen, and the settings know
-// nothing of slow or lost endpoints. There are two signs of too little: answers
-// that waited, over the time that such a request usually takes, and, long
-// before those come, more work out than can be answered in time at the rate at
-// which work is being answered (Little's law). While there is neither, there is
-// enough and nothing is refused. When there is one, capacity is the work that is
-// being answered, less what it takes for the queue to drain; without one it is
-// raised.
+// nothing of slow or lost endpoints. There are two signs of too little: a standing
+// queue, that is answers that waited, over the time that such a request usually
+// takes, and later ones to requests that were sent after the first had come, since a
+// burst leaves a queue, too; and, long before those come, more work out than can be
+// answered in time at the rate at which work is being answered (Little's law).
+// While there is neither, there is enough and nothing is refused. When there is
+// one, capacity is the work that is being answered, less what it takes for the
+// queue to drain; without one it is raised.
 //
 // The usual time falls quickly and rises slowly: a queue must not become usual.
 // So a service that has truly become slower, and is no fuller for it, is taken
@@ -25,6 +26,7 @@
 	blind    time.Duration // since when no window could be judged for that; -1: it could
 	emptied  time.Duration // when the last attempt that was out ended
 	crowded  time.Duration // since when a crowd is out without an end
+	waiting  time.Duration // since when answers have waited for what may be a burst; none: they have not
 	seeking  bool          // since then nothing has waited
 	tight    bool          // there is too little for all: shares are enforced
 	out      float64       // work of the attempts that are out
@@ -46,6 +48,9 @@
 	classes []usual
 }
 
+// none is no time of a capacity's clock.
+const none = -1
+
 // backlog is work that is out, of so many attempts.
 type backlog struct{ work, attempts float64 }
 
@@ -65,7 +70,7 @@
 	windowMemory = 3.0         // windows that the work answered is averaged over
 	hardly       = 0.08        // of the wanted time waited, up to which nothing queues
 	much         = 0.25        // from which there is too little
-	farTooMuch   = 0.5         // by the work that is out, from which there is too little at once,
+	farTooMuch   = 0.5         // from which there is too little at once; by the work that is out
 	crowd        = 24.0        // with so many attempts out: few of them tell nothing,
 	stands       = 0.02        // nor such that are answered within that part of the wanted time
 	coldCrowd    = 96.0        // attempts out from which there is too little while nothing is known
@@ -87,7 +92,7 @@
 )
 
 func newCapacity(now time.Duration, classes int) capacity {
-	return capacity{estimate: math.Inf(1), opened: now, heldUp: math.MinInt64, blind: -1, classes: make([]usual, classes)}
+	return capacity{estimate: math.Inf(1), opened: now, heldUp: math.MinInt64, blind: none, waiting: none, classes: make([]usual, classes)}
 }
 
 // idle reports that nothing has been out for a while, though it was asked for: there is
@@ -125,6 +130,7 @@
 // begun takes an attempt that goes out.
 func (c *capacity) begun(now time.Duration, work float64) {
 	if c.attempts == 0 && c.n == 0 && !c.refused { // nothing was asked for: that is no lack
+		c.waiting = none
 		c.open(now)
 	}
 	c.out += work
@@ -147,7 +153,8 @@
 
 // hold takes that this process is held up, or was until now: how much is out, and how late
 // answers are, is its own doing. A window that this falls into tells nothing of the service,
-// nor what was out. Where no window can be judged for long, shares are not enforced
+// nor what was out. Others may have been held up with it, and a queue that it then meets is
+// a new one. Where no window can be judged for long, shares are not enforced
 // any more: nobody knows of too little.
 func (c *capacity) hold(now time.Duration) {
 	c.behind = backlog{c.out, c.attempts}
@@ -157,10 +164,11 @@
 	if c.tight && now-c.blind > longestBlind {
 		c.tight = false
 	}
+	c.waiting = none
 	c.open(now)
 }
 
-func (c *capacity) tighten() { c.tight, c.clean, c.kept = true, 0, 0 }
+func (c *capacity) tighten() { c.tight, c.waiting, c.clean, c.kept = true, none, 0, 0 }
 
 // ended takes the end of an attempt. It reports whether a window has ended in
 // which nothing waited: there is no queue.
@@ -188,16 +196,26 @@
 		c.usual.addWeighted(u.per*t.work, t.work/unknownWork, workMemory)
 		c.aim.addWeighted(aim.Seconds(), t.work/unknownWork, workMemory)
 	}
-	if e == Answered || e == Declined || e == TimedOut {
+	tells := t.admitted > c.waiting // of whether the queue that was seen stands
+	if tells && (e == Answered || e == Declined || e == TimedOut) {
 		c.n++
 		c.waits += c.waited(t, e, elapsed, aim)
 	}
-	if span := now - c.opened; span >= longWindow || span >= c.window() && c.n >= enough {
+	if c.complete(now) {
 		return c.judge(now)
 	}
 	return false
 }
 
+// complete reports whether the window that is open can be judged.
+func (c *capacity) complete(now time.Duration) bool {
+	span := now - c.opened
+	if span >= c.window() && c.n >= enough {
+		return true
+	}
+	return span >= longWindow && (c.n > 0 || c.waiting == none)
+}
+
 // window is how long a window is at least. While the capacity is a guess, or
 // still sought from one, requests are refused that there may be room for. So it is
 // as short then as answers allow that take their usual time: some of them have to
@@ -235,7 +253,7 @@
 
 // judge ends a window.
 func (c *capacity) judge(now time.Duration) (empty bool) {
-	c.blind = -1
+	c.blind = none
 	served := c.done / (now - c.opened).Seconds()
 	c.served.add(served, windowMemory)
 	waited := 0.0
@@ -245,8 +263,13 @@
 	if c.guess {
 		c.estimate, c.guess = math.Max(served, leastRate), false
 	}
+	if waited <= much {
+		c.waiting = none
+	}
 	queued := c.aim.value > 0 && c.queue() > hardly*c.aim.value
 	switch {
+	case !c.tight && waited > much && waited <= farTooMuch && c.waiting == none: // it may be of a burst: what is sent from now on tells
+		c.waiting = now
 	case !c.tight && waited > much:
 		c.estimate = math.Max(math.Max(served, c.served.value), leastRate)
 		c.tighten()
