core: an answer that waited unread while the process stood still is not late

Callers were refused, 503 by the module's shedding, after a sidecar had stood still: with nine in ten refused for seconds, though no endpoint was late.

Cause: an attempt's time counted a standstill of the sidecar's own process as the endpoint's. Answers that waited in its sockets for longer than the wanted time were told to the module as late, eight of them bring what is admitted to a tenth. Own delay was taken off only where an operator has an [overload] section, and by what it is as the answer is read, which is three quarters less each 10 ms.

A time-out with a quarter of it in a stall tells nothing.

--- a/internal/core/delay.go
+++ b/internal/core/delay.go
@@ -26,9 +26,11 @@
 // is to be set before the first request.
 func (s *Service) OnDelay(delay func() time.Duration) { s.delay = delay }
 
-// OnStall sets what tells the same to contracts alone, which need it on every machine. It
-// is to be set before the first request.
-func (s *Service) OnStall(delay func() time.Duration) { s.stalled = delay }
+// OnStall sets what tells the same to contracts alone, which need it on every machine, and for how
+// long this process got no processor at all between a time and now. It is to be set before the first request.
+func (s *Service) OnStall(delay func() time.Duration, since func(from, now time.Time) time.Duration) {
+	s.stalled, s.stalledSince = delay, since
+}
 
 // noteStall tells contracts of a processor that this sidecar waits for, or did of late.
 func (s *Service) noteStall() {
@@ -45,16 +47,24 @@
 	return s.delay()
 }
 
+// added is what this sidecar itself added to an attempt that has ended.
+func (s *Service) added(a *attempt) time.Duration {
+	own := ownWaits * s.own()
+	if s.stalledSince == nil {
+		return own
+	}
+	return max(own, s.stalledSince(a.decided, time.Now()))
+}
+
 // without is the end of an attempt without what this sidecar itself added to it: a
 // processor that is short makes every endpoint look slow, the module refuses then and the
 // broker takes the service for full, and both are wrong. Where it could do harm: what an
 // endpoint is slow by at the same time is not seen until the sidecar has its processor
 // back.
-func without(result policy.Result, elapsed, own time.Duration) (policy.Result, time.Duration) {
-	if own <= 0 {
+func without(result policy.Result, elapsed, added time.Duration) (policy.Result, time.Duration) {
+	if added <= 0 {
 		return result, elapsed
 	}
-	added := ownWaits * own
 	if result == policy.NoAnswer && float64(added) > ownPart*float64(elapsed) {
 		return policy.CalledOff, elapsed // it may have run, and tells nothing
 	}
@@ -62,7 +72,7 @@
 }
 
 // blamed is an attempt's end as the module and the broker are told it.
-func (s *Service) blamed(result upstream.Answer) upstream.Answer {
-	result.Result, result.Elapsed = without(result.Result, result.Elapsed, s.own())
+func (s *Service) blamed(a *attempt, result upstream.Answer) upstream.Answer {
+	result.Result, result.Elapsed = without(result.Result, result.Elapsed, s.added(a))
 	return result
 }
--- a/internal/core/delay_test.go
+++ b/internal/core/delay_test.go
@@ -26,7 +26,7 @@
 		{policy.TurnedAway, 400 * ms, 100 * ms, policy.TurnedAway, 100 * ms}, // proof that it never ran
 		{policy.Errored, 400 * ms, 100 * ms, policy.Errored, 100 * ms},
 	} {
-		result, left := without(c.result, c.elapsed, c.own)
+		result, left := without(c.result, c.elapsed, ownWaits*c.own)
 		if result != c.want || left != c.left {
 			t.Errorf("%v after %v with %v of our own: %v after %v, %v after %v is expected", c.result, c.elapsed, c.own, result, left, c.want, c.left)
 		}
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -57,6 +57,9 @@
 	delay     func() time.Duration // of this sidecar's own processor; nil: not known
 	stalled   func() time.Duration // the same, for contracts
 
+	// stalledSince is for how long this process got no processor between a time and now; nil: not known.
+	stalledSince func(from, now time.Time) time.Duration
+
 	testHookNoted func() // called as a key is noted; nil but in tests
 }
 
@@ -514,7 +517,7 @@
 	}
 	c.traced(a, result)
 	s.refused(a, result.Refused)
-	told := s.blamed(result)
+	told := s.blamed(a, result)
 	s.measure(c, a, told)
 	s.settle(c, a, told)
 	c.slow = result.Result == policy.NoAnswer
--- a/internal/sidecar/brake.go
+++ b/internal/sidecar/brake.go
@@ -13,6 +13,7 @@
 	"spokegw/internal/figures"
 	"spokegw/internal/front/http1"
 	"spokegw/internal/overload"
+	"spokegw/internal/stall"
 )
 
 // brakeLook is how often it is looked how long ready work waits for the processor.
@@ -27,6 +28,7 @@
 
 	waited atomic.Int64 // ready work, of late
 	due    atomic.Int64 // the next look, since begun
+	stalls stall.Record // of the process
 
 	mu    sync.Mutex
 	brake *overload.Brake // nil: all are let in
@@ -53,6 +55,7 @@
 	for {
 		due := time.Now().Add(brakeLook)
 		b.due.Store(int64(due.Sub(b.begun)))
+		b.stalls.Expect(due)
 		timer.Reset(brakeLook)
 		select {
 		case <-ctx.Done():
@@ -60,7 +63,9 @@
 		case <-timer.C:
 		}
 		runtime.Gosched()
-		b.tell(time.Since(due))
+		now := time.Now()
+		b.stalls.Done(now)
+		b.tell(now.Sub(due))
 	}
 }
 
@@ -74,6 +79,14 @@
 	return max(time.Duration(b.waited.Load()), overdue, 0)
 }
 
+// stalledSince is for how long the process got no processor between a time and now.
+func (b *brake) stalledSince(from, now time.Time) time.Duration {
+	if b == nil {
+		return 0
+	}
+	return b.stalls.Within(from, now)
+}
+
 func (b *brake) tell(waited time.Duration) {
 	b.waited.Store(int64(max(waited, time.Duration(b.waited.Load())*3/4)))
 	if b.brake == nil {
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -135,7 +135,10 @@
 	if s.begun != nil && s.begun.Keys.Kept() {
 		r.service.OnDurable(func(ctx context.Context, n keyed.Note) error { return s.keepKey(ctx, handover.Key{Of: r.of, Note: n}) })
 	}
-	r.service.OnStall(func() time.Duration { return s.brake.delay() })
+	r.service.OnStall( // the brake is made later
+		func() time.Duration { return s.brake.delay() },
+		func(from, now time.Time) time.Duration { return s.brake.stalledSince(from, now) },
+	)
 	if s.begun != nil && s.begun.Overload != nil {
 		r.service.OnDelay(func() time.Duration { return s.brake.delay() })
 	}
