broker: what is out since before a hold-up does not slow what is admitted after it

Callers were refused, 503 "over the share of the contract", by a sidecar that had stood still while shares were enforced: at 0.4 of the capacity that it knew of.

Cause: the rate at which shares are let out is lowered while the work that is out makes a queue. What has been out since before a hold-up was left out of that where shares begin to be enforced, and not where they are already: so all that waited unread through the hold-up counted as a queue of 2 to 30 s.

Change: capacity.queue leaves them out, for all who ask.

TestBacklogOfAHoldUpWhileShort failed before (refused 0.7 s after the hold-up) and passes now.

--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -119,12 +119,9 @@
 func (c *capacity) owedRate() float64 { return math.Max(c.rate(), owedDrain*c.estimate) }
 
 // queue is how long an attempt would wait now, in seconds, by the work that is
-// out.
-func (c *capacity) queue() float64 { return c.wait(c.out) }
-
-// wait is that by so much work.
-func (c *capacity) wait(work float64) float64 {
-	return math.Max(work/c.estimate-c.usual.value, 0)
+// out. What has been out since before a hold-up may be answered long ago.
+func (c *capacity) queue() float64 {
+	return math.Max((c.out-c.behind.work)/c.estimate-c.usual.value, 0)
 }
 
 // begun takes an attempt that goes out.
@@ -146,7 +143,7 @@
 			c.estimate, c.guess, c.seeking = leastRate, true, true
 			c.tighten()
 		}
-	case now-c.crowded > seconds(stands*c.aim.value) && c.wait(c.out-c.behind.work) > farTooMuch*c.aim.value:
+	case now-c.crowded > seconds(stands*c.aim.value) && c.queue() > farTooMuch*c.aim.value:
 		c.tighten()
 	}
 }
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -156,6 +156,26 @@
 	}
 }
 
+// Shares are enforced, and the process is held up with much out: that is no queue at the service,
+// and nothing of what it is known to do is refused after it.
+func TestBacklogOfAHoldUpWhileShort(t *testing.T) {
+	const ms = time.Millisecond
+	b := New(0, Terms{Classes: 1, Strangers: &Contract{Share: 1, Calls: []Call{{Classes: AllClasses}}}})
+	for range 100 {
+		b.Admit(ms, "nobody", 0, 0.02)
+	}
+	b.capacity.estimate = 1
+	b.capacity.tighten()
+	b.HeldUp(400 * ms)
+	for now := 410 * ms; now < 3*time.Second; now += 25 * ms { // 0.8 s of work a second
+		ticket, v := b.Admit(now, "nobody", 0, 0.02)
+		if v.Kind != Admitted {
+			t.Fatalf("refused after %v: %+v", now, b.capacity)
+		}
+		b.Ended(now+20*ms, &ticket, false, Answered, 20*ms, 4*time.Second)
+	}
+}
+
 // Few answers are read and many requests are sent in the first moments of a sidecar: that is
 // no lack while what is out is answered before it is old.
 func TestCrowdThatDoesNotStand(t *testing.T) {
