broker: the log tells by what too little capacity is known

What was missing to tell causes of refusals apart: the line "too little capacity" told neither the sign it went by nor the estimate, and traces needed a build of their own each time.

Broker.Shortage takes the place of Capacity: the cause (answers waited, work out, handed over by another process), the estimate, what of it is let in, and what is out, of that from before a hold-up. TestShortageTellsWhy.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -396,13 +396,41 @@
 	}
 }
 
-// Capacity is the work a second that is shared out, in seconds; +Inf while
-// there is enough.
-func (b *Broker) Capacity() float64 {
-	if !b.capacity.tight {
-		return math.Inf(1)
+// Cause is why there was taken to be too little capacity.
+type Cause uint8
+
+const (
+	Queued     Cause = iota // answers waited, also those to requests sent after the first that did
+	Crowded                 // more work is out than can be answered in time
+	HandedOver              // another process said so
+)
+
+// String is the cause as a log has it.
+func (c Cause) String() string {
+	return [...]string{"answers waited", "work out", "handed over"}[min(c, HandedOver)]
+}
+
+// Shortage is what is known where there is too little capacity for all.
+type Shortage struct {
+	Cause    Cause
+	Estimate float64       // of the capacity, in seconds of work a second
+	Admitted float64       // of it for now, as a queue is to drain
+	Attempts int           // that are out
+	Out      float64       // their work, in seconds
+	Backlog  float64       // of that, what has been out since before the process was held up
+	Usual    time.Duration // that an answer takes which does not wait
+}
+
+// Shortage is that of the service; false: there is enough.
+func (b *Broker) Shortage() (Shortage, bool) {
+	c := &b.capacity
+	if !c.tight {
+		return Shortage{}, false
 	}
-	return b.capacity.rate()
+	return Shortage{
+		Cause: c.why, Estimate: c.estimate, Admitted: c.rate(), Attempts: int(c.attempts), Out: c.out, Backlog: c.behind.work,
+		Usual: seconds(c.usual.value),
+	}, true
 }
 
 // mean is a mean that forgets: samples past memory weigh one over memory.
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -529,3 +529,34 @@
 		New(0, terms)
 	}
 }
+
+// Where there is too little capacity it is told by what that is known.
+func TestShortageTellsWhy(t *testing.T) {
+	terms := Terms{Classes: 1, Strangers: &Contract{Share: 1, Calls: []Call{{Classes: AllClasses}}}}
+	crowded, queued := New(0, terms), New(0, terms)
+	for range int(coldCrowd) {
+		crowded.Admit(0, "nobody", 0, 0.01)
+	}
+	var tickets []Ticket
+	for range int(enough) {
+		ticket, _ := queued.Admit(0, "nobody", 0, 0.01)
+		tickets = append(tickets, ticket)
+	}
+	if s, short := queued.Shortage(); short {
+		t.Errorf("%+v before anything is answered", s)
+	}
+	queued.Ended(10*time.Millisecond, &tickets[0], false, Answered, 10*time.Millisecond, time.Second)
+	for i := range tickets[1:] {
+		queued.Ended(900*time.Millisecond, &tickets[1+i], false, TimedOut, 900*time.Millisecond, time.Second)
+	}
+	next := New(0, terms)
+	next.Adopt(0, queued.Standing(time.Second), []int{0})
+	for want, b := range map[Cause]*Broker{Crowded: crowded, Queued: queued, HandedOver: next} {
+		if s, short := b.Shortage(); !short || s.Cause != want || s.Estimate <= 0 || s.Admitted <= 0 {
+			t.Errorf("%v: %v %+v", want, short, s)
+		}
+	}
+	if s, _ := crowded.Shortage(); s.Attempts != int(coldCrowd) || s.Out < 0.9 {
+		t.Errorf("%+v of %v attempts", s, coldCrowd)
+	}
+}
--- a/internal/broker/capacity.go
+++ b/internal/broker/capacity.go
@@ -30,6 +30,7 @@
 	waiting  time.Duration // since when answers have waited for what may be a burst; none: they have not
 	seeking  bool          // since then nothing has waited
 	tight    bool          // there is too little for all: shares are enforced
+	why      Cause         // of that, while they are
 	out      float64       // work of the attempts that are out
 	attempts float64       // that are out
 	behind   backlog       // of those, what has been out since before the process was last held up
@@ -146,7 +147,7 @@
 	case math.IsInf(c.estimate, 1):
 		if attempts >= coldCrowd {
 			c.estimate, c.guess, c.seeking = leastRate, true, true
-			c.tighten()
+			c.tighten(Crowded)
 		}
 	case now-c.crowded > seconds(stands*c.aim.value) && c.queue() > farTooMuch*c.aim.value:
 		c.surge(now)
@@ -161,7 +162,7 @@
 		return
 	}
 	c.estimate = math.Max(c.estimate, rate)
-	c.tighten()
+	c.tighten(Crowded)
 }
 
 // hold takes that this process is held up, or was until now: how much is out, and how late
@@ -181,7 +182,10 @@
 	c.open(now)
 }
 
-func (c *capacity) tighten() { c.tight, c.waiting, c.clean, c.kept = true, none, 0, 0 }
+func (c *capacity) tighten(why Cause) {
+	c.tight, c.why = true, why
+	c.waiting, c.clean, c.kept = none, 0, 0
+}
 
 // ended takes the end of an attempt. It reports whether a window has ended in
 // which nothing waited: there is no queue.
@@ -288,7 +292,7 @@
 		c.waiting = now
 	case !c.tight && waited > much:
 		c.estimate = math.Max(math.Max(served, c.served.value), leastRate)
-		c.tighten()
+		c.tighten(Queued)
 	case !c.tight && waited <= hardly: // at least what is answered, and what was: less may have been asked for since
 		c.estimate, empty = math.Max(math.Max(served, c.served.value), math.Max(c.before(now), leastRate)), true
 	case !c.tight:
--- a/internal/broker/standing.go
+++ b/internal/broker/standing.go
@@ -89,7 +89,7 @@
 	}
 	if s.Estimate >= leastRate && s.Estimate < 1e9 {
 		if b.capacity.estimate = s.Estimate; s.Tight {
-			b.capacity.tighten()
+			b.capacity.tighten(HandedOver)
 		}
 	}
 	for i := range s.Teams {
--- a/internal/broker/standing_test.go
+++ b/internal/broker/standing_test.go
@@ -72,7 +72,7 @@
 	const now = 100 * time.Second
 	old := New(now, standingTerms(2, 1, 2))
 	old.capacity.estimate = 4
-	old.capacity.tighten()
+	old.capacity.tighten(Queued)
 	for range 400 {
 		old.shares.charge(&old.teams["kiosks"].share, old.capacity.rate(), 0.01)
 	}
--- a/internal/broker/standstill_test.go
+++ b/internal/broker/standstill_test.go
@@ -127,7 +127,7 @@
 func TestHeldUpWhileShort(t *testing.T) {
 	b := New(0, Terms{Classes: 1, Strangers: &Contract{Share: 1, Calls: []Call{{Classes: AllClasses}}}})
 	b.capacity.estimate = 0.1
-	b.capacity.tighten()
+	b.capacity.tighten(Queued)
 	for now := time.Duration(0); now < 3*time.Second; now += 40 * time.Millisecond {
 		b.HeldUp(now)
 		_, v := b.Admit(now, "nobody", 0, 0.01)
@@ -165,7 +165,7 @@
 		b.Admit(ms, "nobody", 0, 0.02)
 	}
 	b.capacity.estimate = 1
-	b.capacity.tighten()
+	b.capacity.tighten(Queued)
 	b.HeldUp(400 * ms)
 	for now := 410 * ms; now < 3*time.Second; now += 25 * ms { // 0.8 s of work a second
 		ticket, v := b.Admit(now, "nobody", 0, 0.02)
@@ -203,7 +203,7 @@
 			r := newRoomy(t, seed, 0, 4*time.Second)
 			r.broker.work[0], r.broker.work[1] = mean{work, 1}, mean{work, 1}
 			r.broker.capacity.estimate = leastRate
-			r.broker.capacity.tighten()
+			r.broker.capacity.tighten(Queued)
 			r.run(5 * time.Second)
 			r.asked, r.refused = 0, 0
 			if r.run(10 * time.Second); r.refused > 0 {
--- a/internal/core/contracts.go
+++ b/internal/core/contracts.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math"
 	"net/http"
 	"time"
 
@@ -142,14 +141,16 @@
 
 // tellTight logs when shares begin to be enforced, and when they no longer are.
 func (s *Service) tellTight() {
-	capacity := s.broker.Capacity()
-	tight, now := !math.IsInf(capacity, 1), s.now()
+	shortage, tight := s.broker.Shortage()
+	now := s.now()
 	if tight == s.tight || now-s.toldTight < tightPause {
 		return
 	}
 	s.tight, s.toldTight = tight, now
 	if tight {
-		s.log.Warn("too little capacity: shares are enforced", "work_per_second", capacity)
+		s.log.Warn("too little capacity: shares are enforced", "because", shortage.Cause, "work_per_second", shortage.Admitted,
+			"estimate", shortage.Estimate, "attempts", shortage.Attempts, "work_out", shortage.Out,
+			"out_since_a_hold_up", shortage.Backlog, "usual_answer", shortage.Usual)
 	} else {
 		s.log.Info("enough capacity again")
 	}
