bench/mutants: eight of what was mended, and a test of what a stall takes off

TestStallIsNotBlamed holds core to what of a stall is taken off an attempt's time without processes; TestAnswersUnreadInAStandstillAreNotLate has them.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -45,6 +45,9 @@
 	trialJudge   = "Test(DroppedByTheNextProcess|CutOffByAKill|DroppedByAProcessThatEnds|RefusedBeforeAKill|ToldBeforeDiscoveryIsDown|HeldUp)"
 	trialOutcome = "TestOutcome"
 
+	unread    = "TestStallIsNotBlamed"
+	shortages = "Test(BurstAfterACommonHoldUp|BurstAtManySidecars|BacklogOfAHoldUpWhileShort|StrangersInCrowd)"
+
 	budgets = "TestEveryOrder"
 	charges = "TestChargesInEveryOrder"
 	courses = "TestCourseInEveryOrder"
@@ -187,7 +190,7 @@
 	{"internal/core/endpoints.go", "			known.listing.becomes(permit.Replaced, now)\n", "", drains, "TestEndpointThatDrainsWhileAnAttemptWaits"},
 	{"internal/core/endpoints.go", "		l.becomes(listings[p.Readiness], now)\n", "", drains, "TestEndpointThatDrainsWhileAnAttemptWaits"},
 	{"internal/core/endpoints.go", "	e.listing.becomes(permit.Gone, now)\n", "", drains, "TestEndpointThatDrainsWhileAnAttemptWaits"},
-	{"internal/core/service.go", "		s.endUnsent()\n", "", drains, "TestEndpointThatDrainsWhileAKeyIsKept"},
+	{"internal/core/lists.go", "		s.endUnsent()\n", "", drains, "TestEndpointThatDrainsWhileAKeyIsKept"},
 	{"internal/core/started.go", "		at = max(at, now-since-listedWithin)\n", "", clocks, "TestSlowStartThoughTheClockWasSet"},
 	{"internal/core/started.go", "min(time.Duration(told)*time.Millisecond, now)", "time.Duration(told) * time.Millisecond", clocks, "TestSlowStartThoughTheClockWasSet"},
 	{"internal/core/started.go", "	if before, ok := s.gone[id]; ok && before.told == told {\n		return before\n	}\n", "", clocks, "TestSlowStartThoughTheClockWasSet"},
@@ -239,6 +242,14 @@
 	{"internal/lab/trial/client.go", "!side.done.ClosedDoor(begun, made) && ", "false && ", trialJudge, "TestRefusedBeforeAKill"},
 	{"internal/lab/trial/registry.go", "	if !at.IsZero() && at.Before(told) {\n", "	if !at.IsZero() && at.Before(told) && r.down == NoFault {\n", trialJudge, "TestToldBeforeDiscoveryIsDown"},
 	{"internal/lab/trial/judge.go", "return most > permit.HoldUp", "_, most = h.Within(time.Time{}, time.Now())\n	return most > permit.HoldUp", trialJudge, "TestHeldUp"},
+	{"internal/broker/capacity.go", "waited > much && c.waiting == none && waited <= farTooMuch", "false", shortages, "TestBurstAfterACommonHoldUp"},
+	{"internal/broker/capacity.go", "	c.waiting = none\n	c.open(now)\n}", "	c.open(now)\n}", shortages, "TestBurstAfterACommonHoldUp"},
+	{"internal/broker/capacity.go", "	tells := t.admitted > c.waiting", "	tells := true", shortages, "TestBurstAfterACommonHoldUp"},
+	{"internal/broker/capacity.go", "(c.out-c.behind.work)/rate", "c.out/rate", shortages, "TestBacklogOfAHoldUpWhileShort"},
+	{"internal/broker/capacity.go", "	if c.queueAt(rate) <= farTooMuch*c.aim.value {\n		return\n	}\n", "", shortages, "TestBurstAtManySidecars"},
+	{"internal/broker/capacity.go", "		c.through += t.work\n", "", shortages, "TestBurstAtManySidecars"},
+	{"internal/broker/capacity.go", "unseen*c.out/c.attempts", "1e3", shortages, "TestStrangersInCrowd"},
+	{"internal/core/delay.go", "return max(own, s.stalledSince(a.decided, time.Now()))", "return own", unread, "TestStallIsNotBlamed"},
 	{"bench/trial/main.go", "return !v.HeldUp }", "return false }", trialOutcome, "TestOutcome"},
 }
 
@@ -343,7 +354,7 @@
 	}
 	output, _ := exec.Command("go", args...).CombinedOutput()
 	found := end.FindSubmatch(output)
-	if slices.Contains([]string{measures, losses, effects, gates, drains, clocks, renewals, watches, starts, besideKills, verdicts, trialJudge, trialOutcome}, m.test) { // each test is a property
+	if slices.Contains([]string{measures, losses, effects, gates, drains, clocks, renewals, watches, starts, shortages, unread, besideKills, verdicts, trialJudge, trialOutcome}, m.test) { // each test is a property
 		found = failed.FindSubmatch(output)
 		for _, test := range failed.FindAllSubmatch(output, -1) {
 			if string(test[1]) == m.breaks { // others may fail before it
--- a/internal/core/delay_test.go
+++ b/internal/core/delay_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"spokegw/internal/upstream"
 	"spokegw/policy"
 )
 
@@ -35,3 +36,21 @@
 		}
 	}
 }
+
+// What of a stall falls into an attempt's time is taken off, as long as that is kept.
+func TestStallIsNotBlamed(t *testing.T) {
+	_, s := alone(t)
+	stalled := 2 * time.Second
+	var asked time.Time
+	s.OnStall(func() time.Duration { return 0 }, func(from, _ time.Time) time.Duration { asked = from; return stalled })
+	a := &attempt{decided: time.Now().Add(-3 * time.Second)}
+	for _, c := range []struct{ told, want upstream.Answer }{
+		{upstream.Answer{Result: policy.Served, Elapsed: 3 * time.Second}, upstream.Answer{Result: policy.Served, Elapsed: time.Second}},
+		{upstream.Answer{Result: policy.NoAnswer, Elapsed: 3 * time.Second}, upstream.Answer{Result: policy.CalledOff, Elapsed: 3 * time.Second}},
+	} {
+		got := s.blamed(a, c.told)
+		if got.Result != c.want.Result || got.Elapsed != c.want.Elapsed || !asked.Equal(a.decided) {
+			t.Errorf("%v after %v is told as %v after %v, with what was stalled since %v", c.told.Result, c.told.Elapsed, got.Result, got.Elapsed, asked)
+		}
+	}
+}
