--- a/cmd/spokegw/main.go
+++ b/cmd/spokegw/main.go
@@ -10,9 +10,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"spokegw/internal/logging"
 	"spokegw/internal/operator"
+	"spokegw/internal/shutdown"
 	"spokegw/internal/sidecar"
 )
 
@@ -81,7 +83,7 @@
 
 // runSidecar runs the sidecar until SIGTERM or SIGINT.
 func runSidecar(operatorPath, stateDir, record string, log *logging.Log) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := notifyStop()
 	defer stop()
 	// Handled before anything else, as an unhandled SIGHUP ends the process.
 	hangup := make(chan os.Signal, 1)
@@ -118,6 +120,22 @@
 	return s.Run(ctx)
 }
 
+// notifyStop returns a context that ends at the first SIGTERM or SIGINT, with the time of the signal as
+// its cause. Later ones have no effect. stop ends it without a signal.
+func notifyStop() (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() { // it ends with ctx
+		select {
+		case <-signals:
+			cancel(&shutdown.Requested{At: time.Now()})
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // reload reads the files again at every SIGHUP until ctx ends.
 func reload(ctx context.Context, hangup <-chan os.Signal, read func() sidecar.ReloadResult) {
 	for {
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -77,8 +77,8 @@
 		}
 	}
 	a.dest, a.keyNote, a.deadline = dest, note, a.decided.Add(action.Timeout)
-	if a.deadline.After(c.deadline) { // the process may have stalled since the decision module read its clock
-		a.deadline = c.deadline
+	if limit := c.exchange.core.stopSchedule().Limit(c.deadline); a.deadline.After(limit) { // the process may have stalled since the decision module read its clock
+		a.deadline = limit
 	}
 	if a.connectedAt = c.exchange.opened; a.n > 0 { // checked above for later attempts
 		a.connectedAt = a.decided
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,6 +103,7 @@
 	table atomic.Pointer[Table]
 	ids   *recentIDs // shared by all fronts: an id is in use only once
 	taps  taps
+	stop  atomic.Pointer[stopping] // nil: the process is not stopping
 }
 
 // New makes a core that serves requests by the table.
@@ -137,7 +138,8 @@
 type Exchange struct {
 	core      *Core
 	service   *Service
-	slot      *classSlot // of its class
+	slot      *classSlot    // of its class
+	time      time.Duration // that its client gave it, from when the request was received
 	head      *Head
 	opened    time.Time
 	received  time.Time // when the request was received completely, as its deadline counts from then; zero: not yet
@@ -171,9 +173,13 @@
 			class.open.Add(-1)
 			continue
 		}
-		x := &Exchange{core: c, service: m.Service, slot: class.classSlot, head: h, opened: time.Now(), request: q}
+		x := &Exchange{core: c, service: m.Service, slot: class.classSlot, head: h, opened: time.Now(), request: q, time: q.TimeLeft}
 		x.trace = c.taps.begin(h, m.name, class.name, class.rules.Aim)
-		if refused := x.service.admit(x); refused != nil {
+		refused = x.refuseLate()
+		if refused == nil {
+			refused = x.service.admit(x)
+		}
+		if refused != nil {
 			x.release()
 			x.countRequest(refused)
 			x.trace.endWith(refused)
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -39,6 +39,9 @@
 	}
 	facts.MayHaveRun = a.mayHaveRun
 	facts.Unsafe = a.call.req.NoRetry
+	if schedule := a.call.exchange.core.stopSchedule(); schedule != nil {
+		facts.AnswerBy = max(facts.Now+time.Until(schedule.AnswerBy), 1)
+	}
 	if time.Since(a.connectedAt) > recheckAfter {
 		facts.ClientDisconnected = a.call.exchange.connectionClosed()
 		if end := a.windowEnd(); !end.IsZero() {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -14,6 +14,7 @@
 	"spokegw/internal/figures"
 	"spokegw/internal/keyed"
 	"spokegw/internal/moves"
+	"spokegw/internal/shutdown"
 	"spokegw/internal/upstream"
 	"spokegw/internal/wheel"
 	"spokegw/policy"
@@ -134,7 +135,8 @@
 	keyed          bool   // the request has an idempotency key
 	key            uint64 // hash of the key
 
-	deadline   time.Time  // of its client
+	deadline   time.Time  // by which it is answered: that of its client, or earlier if the process was stopping when it was read
+	shortened  bool       // deadline is earlier than that of its client
 	trace      *Trace     // nil: the request is not traced
 	mask       moves.Mask // the pools that it is routed to
 	repeatable bool       // it may run any number of times
@@ -270,7 +272,7 @@
 	c.id, q.ID = s.lastID, s.lastID
 	s.calls[c.id] = c
 	q.TimeLeft -= now - s.clockAt(c.exchange.received)
-	c.deadline = s.at(now + q.TimeLeft)
+	c.limitDeadline(&q, s.at(now))
 	s.setGuard(c, q.TimeLeft+overdueMargin) // first, since what follows may panic
 	s.pin(c, &q, now, c.exchange.head.Header)
 	if c.trace != nil {
@@ -313,6 +315,9 @@
 	if c == nil || c.done {
 		return
 	}
+	if c.shortened && a.Status != 0 {
+		c.recordCut(shutdown.Shortened)
+	}
 	c.end()
 	c.answer <- a
 	s.removeIfDone(c)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 
 	"spokegw/internal/permit"
+	"spokegw/internal/shutdown"
 )
 
 // Outcome is the final result of a request.
@@ -92,8 +93,9 @@
 	Reloads      atomic.Uint64 // files accepted at SIGHUP
 	ReloadErrors atomic.Uint64 // files rejected at SIGHUP
 
-	NotSent    [permit.NumReasons]atomic.Uint64 // attempts that were decided and not sent, by reason
-	Violations [permit.NumRules]atomic.Uint64   // rule violations that this process can detect
+	NotSent    [permit.NumReasons]atomic.Uint64  // attempts that were decided and not sent, by reason
+	Violations [permit.NumRules]atomic.Uint64    // rule violations that this process can detect
+	Stop       [shutdown.NumCauses]atomic.Uint64 // requests whose outcome the stop of the process has changed, by cause
 
 	mu      sync.Mutex
 	classes map[string]*Class
--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -21,6 +21,9 @@
 // overloadedText is the body of the answer to a request that Admission refuses.
 const overloadedText = "the sidecar has too little processor for all\n"
 
+// stoppingText is the body of the answer to a request that is incomplete when the process ends.
+const stoppingText = "the process is stopping\n"
+
 // tryRefuse answers a request that is complete in c.head, with its head ending at end,
 // if admission refuses it. This happens before the server parses it, allocates its
 // fields or starts a goroutine, because what a refusal costs is not available to
@@ -49,7 +52,7 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return true, err
 	}
-	if _, err := c.Write(refusal(after, last)); err != nil {
+	if _, err := c.Write(refusal(after, last, overloadedText)); err != nil {
 		return true, err
 	}
 	if last {
@@ -59,8 +62,8 @@
 	return true, c.SetReadDeadline(front.At(front.Now() + idleTimeout))
 }
 
-// refusal is the answer to a refused request (RFC 9110 sections 15.6.4 and 10.2.3).
-func refusal(after time.Duration, last bool) []byte {
+// refusal is the answer, with a text as its body, to a refused request (RFC 9110 sections 15.6.4 and 10.2.3).
+func refusal(after time.Duration, last bool, text string) []byte {
 	b := make([]byte, 0, 256)
 	b = append(b, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nX-Content-Type-Options: nosniff\r\n"...)
 	if after > 0 {
@@ -72,9 +75,9 @@
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "Content-Length: "...)
-	b = strconv.AppendInt(b, int64(len(overloadedText)), 10)
+	b = strconv.AppendInt(b, int64(len(text)), 10)
 	b = append(b, "\r\n\r\n"...)
-	return append(b, overloadedText...)
+	return append(b, text...)
 }
 
 // requestTarget is the target in a request line, if it is an HTTP/1.1 request with an
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -228,6 +228,7 @@
 		var buf [2 << 10]byte
 		var n int
 		if n, err = c.receive(buf[:]); n == 0 {
+			c.refuseIncompleteHead(err)
 			return err
 		}
 		if c.markEarlyData() {
@@ -276,6 +277,18 @@
 	return err
 }
 
+// refuseIncompleteHead refuses a request of whose head a part has arrived, where reading the rest was
+// cancelled because the process stops. Its client may have sent the rest, or be about to.
+func (c *clientConn) refuseIncompleteHead(readErr error) {
+	if len(c.head) == 0 || c.serving.Load() || !c.table.answersOver.Load() || !errors.Is(readErr, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.table.recordIncompleteHead(c.RemoteAddr().String())
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.Write(refusal(0, true, stoppingText)) // the connection is closed in any case
+	c.extraData.Store(true)                 // closing waits for the client to read the answer
+}
+
 // setRequestRead records whether the first request has been read completely.
 func (c *clientConn) setRequestRead(complete bool) {
 	c.mu.Lock()
--- a/internal/front/http1/conntable.go
+++ b/internal/front/http1/conntable.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"spokegw/internal/front"
@@ -21,6 +22,8 @@
 	// answered (RFC 9112 section 9.3.2).
 	pipelining bool
 	admission  Admission // nil: no request is refused
+	// recordIncompleteHead records a client whose request is refused because the process stops.
+	recordIncompleteHead func(client string)
 	// busyThreshold is how many answered connections may stay open before others are
 	// closed with their first answer.
 	busyThreshold int
@@ -29,9 +32,10 @@
 	minIdle       time.Duration // the constant minIdle, unless a test sets it
 	firstTimeout  time.Duration // firstRequestTimeout, unless a test sets it
 	conns         map[*clientConn]struct{}
-	draining      bool // every answer closes its connection: another process takes the next request
-	answeredConns int  // number of conns that have had an answer
-	limitLogged   bool // the warning has been logged
+	answersOver   atomic.Bool // the process stops, and no longer waits for the rest of a request
+	draining      bool        // every answer closes its connection: another process takes the next request
+	answeredConns int         // number of conns that have had an answer
+	limitLogged   bool        // the warning has been logged
 }
 
 func newConnTable(limit, busyThreshold int) *connTable {
@@ -228,20 +232,29 @@
 	c.busy = false
 }
 
-// count counts the connections: all, those with a request taken, and of those the ones
-// with transfers since a time.
-func (t *connTable) count(since time.Duration) (total, busy, active int) {
+// count counts the connections: all, and those with a request taken.
+func (t *connTable) count() (total, busy int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.conns {
 		if c.busy {
 			busy++
-			if c.lastActive.Load() >= int64(since) {
-				active++
-			}
 		}
 	}
-	return len(t.conns), busy, active
+	return len(t.conns), busy
+}
+
+// refuseIncomplete ends the wait for requests that have arrived in part: the process has no time
+// left for them. Their readers refuse them.
+func (t *connTable) refuseIncomplete() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answersOver.Store(true)
+	for c := range t.conns {
+		if !c.busy && !c.awaitsRequest() {
+			c.cancelRead()
+		}
+	}
 }
 
 // connKey is the context key of a request's clientConn.
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -58,9 +58,7 @@
 	buffered, more, err := front.ReadBody(body, r.ContentLength, x.ReserveBody)
 	switch {
 	case err != nil:
-		a := front.IncompleteBody(err)
-		x.Drop(a)
-		h.write(w, r, conn, a)
+		h.write(w, r, conn, x.DropIncomplete(front.IncompleteBody(err)))
 		return
 	case more:
 		h.upload(w, r, rc, conn, x, buffered, body)
--- a/internal/front/http1/http1_test.go
+++ b/internal/front/http1/http1_test.go
@@ -349,7 +349,7 @@
 	if status, _ := read(t, newcomer); status != 200 {
 		t.Errorf("a new connection is answered %d among many silent ones", status)
 	}
-	if all, _, _ := s.conns.count(0); all > s.conns.limit {
+	if all, _ := s.conns.count(); all > s.conns.limit {
 		t.Errorf("%d connections are open, the limit is %d", all, s.conns.limit)
 	}
 }
--- a/internal/front/http1/listener.go
+++ b/internal/front/http1/listener.go
@@ -74,13 +74,14 @@
 // way complete and queued connections are accepted; then the listener is closed. Where
 // the system does not support refusing handshakes, connections that arrive between the
 // last check and the close are still reset, and so is a handshake that takes longer
-// than handshakeTimeout because of a long network path.
-func (l *listener) closeGracefully() error {
+// than handshakeTimeout because of a long network path. From limit on it does not wait.
+func (l *listener) closeGracefully(limit time.Time) error {
 	start := time.Now()
+	drainTimeout := min(queueDrainTimeout, time.Until(limit))
 	if !l.shared.Load() { // this would refuse the other process's connections, too
 		l.refuseNew()
 	}
-	for elapsed := time.Duration(0); elapsed < handshakeTimeout || elapsed < queueDrainTimeout && l.queued(); elapsed = time.Since(start) {
+	for elapsed := time.Duration(0); elapsed < handshakeTimeout || elapsed < drainTimeout && l.queued(); elapsed = time.Since(start) {
 		time.Sleep(acceptPause / 5) // the accept loop takes them meanwhile
 	}
 	return l.Close()
--- a/internal/front/http1/listener_test.go
+++ b/internal/front/http1/listener_test.go
@@ -71,7 +71,7 @@
 		})
 	}
 	greet()
-	if err := l.closeGracefully(); err != nil {
+	if err := l.closeGracefully(time.Now().Add(waitTimeout)); err != nil {
 		t.Error(err)
 	}
 	clients.Wait()
@@ -106,7 +106,7 @@
 			})
 		}
 		<-enough
-		if err := l.closeGracefully(); err != nil {
+		if err := l.closeGracefully(time.Now().Add(waitTimeout)); err != nil {
 			t.Error(err)
 		}
 		clients.Wait()
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -79,6 +79,7 @@
 	for {
 		end, err := p.nextHead()
 		if err != nil {
+			p.refuseIncompleteHead(err)
 			return
 		}
 		if c.table.admission != nil {
@@ -310,9 +311,8 @@
 	}
 	data, err := body.readAll(x)
 	if err != nil {
-		a := front.IncompleteBody(err)
-		p.dropUnstarted(a)
-		return p.refuse(a, body, true)
+		p.unstarted = nil
+		return p.refuse(x.DropIncomplete(front.IncompleteBody(err)), body, true)
 	}
 	x.SetReceived(p.unreadTime())
 	if p.extraData.Load() || p.bufferFull && p.readable() {
@@ -383,10 +383,10 @@
 // sent at once; the remaining body is then read and discarded, so that the connection
 // can be kept.
 func (p *plain) refuse(a *core.Answer, b *plainBody, last bool) (kept bool) {
-	if (a.Malformed || last) && b.remaining > int64(len(b.buffered)) {
-		p.extraData.Store(true) // closing then waits for the client to read the answer
-	}
 	if !p.write(a, last) {
+		if b.remaining > int64(len(b.buffered)) {
+			p.extraData.Store(true) // closing then waits for the client to read the answer
+		}
 		return false
 	}
 	if _, err := io.Copy(io.Discard, b.paced()); err != nil {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -15,7 +15,7 @@
 
 	"spokegw/internal/core"
 	"spokegw/internal/framing"
-	"spokegw/internal/front"
+	"spokegw/internal/shutdown"
 )
 
 const (
@@ -24,19 +24,9 @@
 	idleTimeout = 5 * time.Second
 	// writeTimeout limits writing an answer to a client that does not read.
 	writeTimeout = 5 * time.Second
-	// acceptAfterStop is how long connections are still accepted after a stop was
-	// requested: clients learn of it with a delay.
-	acceptAfterStop = 600 * time.Millisecond
-	// stallTimeout is how long a stopping server waits for a streamed answer without
-	// transfers.
-	stallTimeout = 2 * time.Second
 	stopPoll     = 10 * time.Millisecond
-	// A process whose successor serves is killed no sooner than the longest deadline,
-	// of which at most maxDrainWait counts, and 0.7 s after it was asked to stop.
-	// handoverMargin is the part of those 0.7 s that passes before idle connections are
-	// closed.
-	maxDrainWait   = 3 * time.Second
-	handoverMargin = 350 * time.Millisecond
+	// cutTimeout is how long a stopping server waits for long answers that it has cut off.
+	cutTimeout = 30 * time.Millisecond
 )
 
 // Config configures a server.
@@ -66,7 +56,7 @@
 // Listen opens the server's address.
 func Listen(c Config, requests *core.Core) (*Server, error) {
 	s := &Server{core: requests, handler: &handler{core: requests}, conns: newConnTable(c.Limit, c.BusyThreshold)}
-	s.conns.pipelining, s.conns.admission = c.Pipelining, c.Admission
+	s.conns.pipelining, s.conns.admission, s.conns.recordIncompleteHead = c.Pipelining, c.Admission, requests.RecordIncompleteHead
 	s.server = &http.Server{
 		Handler:           s.handler,
 		ReadHeaderTimeout: requestTimeout,
@@ -175,9 +165,7 @@
 		return fmt.Errorf("http1: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain(accepting)
-	all, busy, _ := s.conns.count(0)
-	slog.Info("stopped", "connections", all, "requests", busy)
+	s.drain(s.core.BeginStop(shutdown.RequestedAt(ctx)), accepting)
 	return nil
 }
 
@@ -201,75 +189,3 @@
 		s.conns.closeIdle(minIdle)
 	}
 }
-
-// drain stops the server without losing requests. Connections are still accepted for a
-// while; each is closed after the answer under way on it, idle ones at once: a request
-// that crosses the close is retried on a new connection. Connections that have just
-// been opened may first send a request. Stalled peers do not delay the stop.
-func (s *Server) drain(accepting <-chan error) {
-	stopTime := time.Now()
-	if s.listener.isPaused() != nil && s.drainToSuccessor(stopTime, accepting) {
-		return
-	}
-	slog.Info("stopping")
-	s.conns.setDraining(true)
-	s.conns.closeIdle(0)
-	time.Sleep(acceptAfterStop)
-	s.listener.closeGracefully()
-	<-accepting
-	for {
-		s.conns.closeIdle(0)
-		if s.finished(stopTime) {
-			return
-		}
-		time.Sleep(stopPoll)
-	}
-}
-
-// successorTimeout limits the wait for a successor that leaves connections in the
-// accept queue. The end of the successor is known sooner.
-const successorTimeout = 500 * time.Millisecond
-
-// drainToSuccessor stops a server whose successor takes new connections. It reports
-// false if the successor has ended, so that new connections are this server's again.
-// For that reason the listener stays open to the end, and until its queue is empty:
-// closing it without another process would reset the queued connections. There is time
-// for this, because clients move to the successor as their connections close with an
-// answer; idle connections are closed only after minIdle, or when the time is almost
-// up.
-func (s *Server) drainToSuccessor(stopTime time.Time, accepting <-chan error) (done bool) {
-	slog.Info("stopping; another process has taken over")
-	timeout := min(s.core.MaxDeadline(), maxDrainWait) + handoverMargin
-	for lastEmpty := stopTime; done || s.listener.isPaused() != nil; time.Sleep(stopPoll) {
-		idleFor := minIdle
-		if time.Since(stopTime) > timeout {
-			idleFor = 0
-		}
-		s.conns.closeIdle(idleFor)
-		if !s.listener.queued() {
-			lastEmpty = time.Now()
-		} else if time.Since(lastEmpty) < successorTimeout {
-			continue
-		}
-		if !s.finished(stopTime) {
-			continue
-		}
-		if done {
-			return true
-		}
-		s.listener.Close()
-		<-accepting // it may be adding one
-		done = true
-	}
-	return false
-}
-
-// finished reports whether nothing is left that is worth waiting for.
-func (s *Server) finished(stopTime time.Time) bool {
-	total, _, active := s.conns.count(front.Now() - stallTimeout)
-	overdue := time.Since(stopTime) > acceptAfterStop+s.core.MaxDeadline()
-	if total > 0 && (!overdue || active > 0) {
-		return false
-	}
-	return true
-}
--- a/internal/front/http3/handler.go
+++ b/internal/front/http3/handler.go
@@ -1,6 +1,7 @@
 package http3
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -30,7 +31,9 @@
 	}()
 	rc := http.NewResponseController(w)
 	start := front.Now()
-	rc.SetReadDeadline(front.At(start + requestTimeout))
+	deadlines := &readDeadlines{controller: rc}
+	deadlines.SetReadDeadline(front.At(start + requestTimeout))
+	defer context.AfterFunc(h.server.receiving, deadlines.expire)()
 	length, err := bodyLength(r)
 	if err != nil {
 		h.incompleteBody(w, r, c, nil, err)
@@ -47,7 +50,7 @@
 		front.Write(r.Context(), w, refused)
 		return
 	}
-	body := front.NewPacedBody(r.Body, rc, start)
+	body := front.NewPacedBody(r.Body, deadlines, start)
 	buffered, more, err := front.ReadBody(body, length, x.ReserveBody)
 	switch {
 	case err != nil:
@@ -110,7 +113,7 @@
 func (h *handler) incompleteBody(w http.ResponseWriter, r *http.Request, c *conn, x *core.Exchange, err error) {
 	a := front.IncompleteBody(err)
 	if x != nil {
-		x.Drop(a)
+		a = x.DropIncomplete(a)
 	}
 	if streamError := (*http3.Error)(nil); errors.As(err, &streamError) {
 		h.clientCancelled(c)
--- a/internal/front/http3/server.go
+++ b/internal/front/http3/server.go
@@ -22,6 +22,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"spokegw/internal/core"
+	"spokegw/internal/shutdown"
 )
 
 // Config configures a server. All limits are positive.
@@ -54,6 +55,9 @@
 
 	maxUnused, sweepPeriod time.Duration // of sweep
 
+	receiving   context.Context // ends when the rest of a request is no longer waited for
+	answersOver context.CancelFunc
+
 	accepting         chan error   // receives the error that ends accept
 	open, handshaking atomic.Int64 // connections, and those of them in the handshake
 	connections       sync.WaitGroup
@@ -84,6 +88,7 @@
 // Listen opens the server's address.
 func Listen(c Config, requests *core.Core) (*Server, error) {
 	s := &Server{config: c, core: requests, conns: map[*quic.Conn]*conn{}, accepting: make(chan error, 1), maxUnused: maxUnusedTime, sweepPeriod: sweepPeriod}
+	s.receiving, s.answersOver = context.WithCancel(context.Background())
 	if err := s.ReloadCertificate(); err != nil {
 		return nil, err
 	}
@@ -200,7 +205,7 @@
 		return fmt.Errorf("http3: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain()
+	s.drain(s.core.BeginStop(shutdown.RequestedAt(ctx)))
 	return nil
 }
 
@@ -269,10 +274,12 @@
 // drain stops the server without losing requests: it sends GOAWAY on every connection,
 // completes the requests that have been taken, rejects later ones unread
 // (H3_REQUEST_REJECTED) so that clients may safely retry them, and closes connections
-// once nothing is open on them.
-func (s *Server) drain() {
-	grace, cancel := context.WithTimeout(context.Background(), s.core.MaxDeadline()+requestTimeout)
+// once nothing is open on them. At the schedule's exit it closes them in any case.
+func (s *Server) drain(schedule shutdown.Schedule) {
+	grace, cancel := context.WithDeadline(context.Background(), schedule.ExitBy)
 	defer cancel()
+	last := time.AfterFunc(time.Until(schedule.AnswerBy), s.answersOver)
+	defer last.Stop()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -19,6 +19,7 @@
 
 	"spokegw/internal/figures"
 	"spokegw/internal/permit"
+	"spokegw/internal/shutdown"
 )
 
 const (
@@ -37,6 +38,7 @@
 	unavailable  = prometheus.NewDesc("spokegw_members_unavailable", "Endpoints in the list that are avoided.", nil, nil)
 	notSent      = prometheus.NewDesc("spokegw_attempts_not_sent_total", "Attempts that were decided and not sent, by what had changed.", []string{"reason"}, nil)
 	violations   = prometheus.NewDesc("spokegw_rule_violations_total", "Rules that were broken, as far as this process sees.", []string{"rule"}, nil)
+	stopRequests = prometheus.NewDesc("spokegw_stop_requests_total", "Requests whose outcome the stop of the process has changed, by cause.", []string{"cause"}, nil)
 	listAge      = prometheus.NewDesc("spokegw_list_age_seconds", "How long ago the list of a service's endpoints was last known to be current.", []string{"service"}, nil)
 	calls        = prometheus.NewDesc("spokegw_discovery_calls_total", "Calls to a service's registry, by outcome; a late one counts again as it ends.", []string{"service", "outcome"}, nil)
 	reloads      = prometheus.NewDesc("spokegw_config_reloads_total", "Files taken at SIGHUP.", nil, nil)
@@ -92,7 +94,7 @@
 }
 
 func (c *collector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, notSent, violations, listAge, calls, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
+	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, notSent, violations, stopRequests, listAge, calls, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
 		descs <- d
 	}
 }
@@ -123,6 +125,9 @@
 	for rule := range permit.NumRules {
 		count(violations, c.figures.Violations[rule].Load(), rule.String())
 	}
+	for cause := range shutdown.NumCauses {
+		count(stopRequests, c.figures.Stop[cause].Load(), cause.String())
+	}
 	for _, l := range m.Lists {
 		gauge(listAge, l.Age.Seconds(), l.Service)
 		count(calls, l.Answered, l.Service, "answered")
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -20,6 +20,7 @@
 	Cancelled                 // its result is no longer needed
 	ClientDisconnected        // nobody waits for the answer
 	DeadlineExceeded          // the client has abandoned the request, or will have
+	ProcessEnding             // this process has no time left to pass on an answer
 	DedupWindowExpired        // the endpoint would not recognise the repeat
 	EffectUncertain           // an earlier attempt may have run, and the effect must not happen twice
 	EndpointDraining          // it accepts no new requests
@@ -33,7 +34,7 @@
 )
 
 var reasonNames = [NumReasons]string{
-	"allowed", "called off", "client left", "deadline over", "repeat window over", "effect in doubt", "endpoint drains", "endpoint gone",
+	"allowed", "called off", "client left", "deadline over", "process ends", "repeat window over", "effect in doubt", "endpoint drains", "endpoint gone",
 	"endpoint replaced", "answering", "unread", "call out", "too many calls",
 }
 
@@ -69,6 +70,7 @@
 	Cancelled          bool
 	ClientDisconnected bool
 	Deadline           time.Duration // nothing is written from then on
+	AnswerBy           time.Duration // when this process, which is stopping, must have answered; 0: it is not stopping
 	DedupUntil         time.Duration // end of the window in which its endpoint discards a repeat; 0: it is no repeat
 	Unsafe             bool          // its effect must not happen twice
 	MayHaveRun         bool          // an earlier attempt may have run
@@ -84,6 +86,8 @@
 		return ClientDisconnected
 	case a.Now >= a.Deadline:
 		return DeadlineExceeded
+	case a.AnswerBy > 0 && a.Now >= a.AnswerBy:
+		return ProcessEnding
 	case a.DedupUntil > 0 && a.Now+MaxStall > a.DedupUntil:
 		return DedupWindowExpired
 	case a.Unsafe && a.MayHaveRun:
--- a/internal/sidecar/persistence.go
+++ b/internal/sidecar/persistence.go
@@ -287,7 +287,7 @@
 	}
 	closed := make(chan error, 1)
 	go func() { closed <- store.Close() }() // blocks until the disk answers
-	timer := time.NewTimer(diskTimeout)
+	timer := time.NewTimer(s.timeToSave())
 	defer timer.Stop()
 	var err error
 	select {
@@ -307,7 +307,7 @@
 	for _, k := range all {
 		k.Close()
 	}
-	deadline := time.Now().Add(diskTimeout)
+	deadline := time.Now().Add(s.timeToSave())
 	for _, k := range all {
 		k.Flush(time.Until(deadline))
 	}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -23,6 +23,9 @@
 func (s *Sidecar) Reload(c Config) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.core.Stopping() {
+		return errStopping
+	}
 	if missing := s.config.fileKeys.Missing(c.fileKeys); len(missing) > 0 {
 		return fmt.Errorf("the file lacks keys that the one in force has: %s", strings.Join(missing, ", "))
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"spokegw/internal/management"
 	"spokegw/internal/metrics"
 	"spokegw/internal/operator"
+	"spokegw/internal/shutdown"
 	"spokegw/internal/state/keeper"
 )
 
@@ -60,6 +61,7 @@
 	services []*runningService // in the order of the operator's file
 	retired  []*runningService // with open requests
 	watchCtx context.Context
+	schedule shutdown.Schedule // of the stop; zero: none was requested
 }
 
 // New creates a sidecar and opens its addresses.
@@ -184,7 +186,7 @@
 	}
 	s.mu.Unlock()
 	var goroutines sync.WaitGroup
-	defer goroutines.Wait()
+	defer s.awaitGoroutines(&goroutines)
 	defer stopWatch()
 	goroutines.Go(func() { s.sweep(watchCtx) })
 	goroutines.Go(func() { s.shedder.monitor(watchCtx) })
@@ -210,21 +212,28 @@
 // serve runs the fronts until ctx ends or one of them fails, and waits until each has finished
 // its open requests.
 func (s *Sidecar) serve(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+	requested := ctx
+	ctx, stop := context.WithCancelCause(context.WithoutCancel(requested))
+	defer stop(nil)
+	defer context.AfterFunc(requested, func() {
+		s.beginStop(shutdown.RequestedAt(requested))
+		stop(context.Cause(requested))
+	})()
 	http3Err := make(chan error, 1)
 	go func() {
 		err := s.serveHTTP3(ctx)
 		if err != nil {
-			stop()
+			stop(err)
 		}
 		http3Err <- err
 	}()
 	http1Err := s.front.Serve(ctx)
 	if http1Err != nil {
-		stop()
+		stop(http1Err)
 	}
-	if err := errors.Join(http1Err, <-http3Err); err != nil {
+	err := errors.Join(http1Err, <-http3Err)
+	s.endStop()
+	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
@@ -235,6 +244,9 @@
 func (s *Sidecar) ReloadOperator(f *operator.File) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.core.Stopping() {
+		return errStopping
+	}
 	if s.config.Operator == nil || f == nil {
 		return fmt.Errorf("an operator's file can't be added or removed while the sidecar runs")
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -64,6 +64,16 @@
 func (s *Stream) Complete() bool { return s.complete }
 func (s *Stream) Failed() bool   { return s.failed }
 
+// Ended reports whether the stream is closed.
+func (s *Stream) Ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Abort ends a blocked Read because the reader has disconnected. It may be called at any
 // time.
 func (s *Stream) Abort() {
