sidecar: the test of a move that is taken on expects the reworded error

TestMoveTakenOn is in KNOWN-RED.txt for its failures under load, which hid that since the rewording of the code it failed in every run: it expected "has begun" where the error says "has already begun".

--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -120,7 +120,7 @@
 		t.Errorf("%s", text)
 	}
 	must(t, s, "begin-move new")
-	if _, err := call(t, s, "begin-move new"); err == nil || !strings.Contains(err.Error(), "has begun") {
+	if _, err := call(t, s, "begin-move new"); err == nil || !strings.Contains(err.Error(), "has already begun") {
 		t.Errorf("a second begin-move: %v", err)
 	}
 	text := awaitPhase(t, s, "done", "undone")
