core: a peer process that stands still does not hold up a keyed request's answer

What callers would see: on an upgrade whose other process stands still with its socket full, a keyed request waits up to 1 s in the write of its key, on the goroutine that passes on its answer. Its deadline, and the last answers of a stop, pass meanwhile, though the final answer is there.

Attempts of keyed requests run on a goroutine of their own while there is another process.

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -23,9 +23,12 @@
 // SetPeers sets the other processes. It must be called before the first request.
 func (s *Service) SetPeers(p Peers) { s.peers = p }
 
+// hasPeers reports whether there are or were other processes.
+func (s *Service) hasPeers() bool { return s.peers != nil && s.peers.Exist() }
+
 // catchUp adopts what other processes have published before a keyed request is decided.
 func (s *Service) catchUp(c *call) {
-	if c.keyed && s.peers != nil && s.peers.Exist() {
+	if c.keyed && s.hasPeers() {
 		s.peers.CatchUp() // after a failure the attempt will not be claimed
 	}
 }
@@ -34,7 +37,7 @@
 // same key. Each process publishes its own attempt before it reads those of the others. So at
 // least one of two processes sees the other's attempt and abandons its own.
 func (s *Service) claim(a *attempt) bool {
-	if a.keyNote == nil || s.peers == nil || !s.peers.Exist() {
+	if a.keyNote == nil || !s.hasPeers() {
 		return true
 	}
 	n := *a.keyNote
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -231,9 +231,10 @@
 // request first, and that answer must not wait for this attempt.
 func (s *Service) eventOf(c *call, event func(s *Service, c *call)) *attempt {
 	defer logPanic("event")
+	publishes := c.keyed && s.hasPeers() // to a process that may stand still
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.onOwnGoroutine = s.settings.policy.Cancel && c.req.Stream == nil
+	c.onOwnGoroutine = s.settings.policy.Cancel && c.req.Stream == nil && !publishes
 	defer func() { c.onOwnGoroutine = false }()
 	event(s, c)
 	next := c.ownNext
--- a/internal/core/stop_test.go
+++ b/internal/core/stop_test.go
@@ -139,3 +139,27 @@
 		t.Errorf("a second stop moved the last answers by %v", second.AnswerBy.Sub(first.AnswerBy))
 	}
 }
+
+// hangingPeer is another process that stands still, so that nothing can be published to it.
+type hangingPeer struct{ publishing, resumed chan struct{} }
+
+func (p *hangingPeer) Exist() bool    { return true }
+func (p *hangingPeer) CatchUp() error { return nil }
+func (p *hangingPeer) Publish(keyed.Note) error {
+	close(p.publishing)
+	<-p.resumed
+	return nil
+}
+
+// The other process of an upgrade stands still while a keyed request is published to it: the answer is not held up.
+func TestHangingPeerDoesNotHoldUpTheAnswer(t *testing.T) {
+	addr, _ := silentEndpoint(t)
+	c, s := newOrderCore(t, time.Minute, 10*time.Second, addr)
+	p := &hangingPeer{make(chan struct{}), make(chan struct{})}
+	defer close(p.resumed)
+	s.SetPeers(p)
+	answered := do(openOrder(t, c, "1", nil))
+	<-p.publishing
+	schedule := stopEnds(c, 20*time.Millisecond)
+	answeredBy(t, answered, schedule.AnswerBy, http.StatusGatewayTimeout)
+}
