--- a/bench/trial/main.go
+++ b/bench/trial/main.go
@@ -25,11 +25,13 @@
 	seeds := flag.Int("seeds", 1, "number of seeds")
 	first := flag.Uint64("first", 1, "first seed")
 	sidecars := flag.Int("sidecars", 24, "processes")
+	clients := flag.Int("clients", 3, "clients of each process")
 	duration := flag.Duration("lasts", 60*time.Second, "duration of one seed")
 	dir := flag.String("dir", "", "directory for the logs of seeds that break a rule; empty: logs are deleted")
 	parallel := flag.Int("beside", 1, "seeds or scenes to run in parallel")
 	cold := flag.Bool("cold", false, "joining endpoints are cold, some replace others under a burst, and the load on them is checked")
 	only := flag.String("only", "all", "numbers of the faults to inject in random courses, as in course.txt")
+	stops := flag.String("stops", "", "play only planned stops, of which some meet endpoints that hang: restarts, upgrades or both")
 	shrinkRuns := flag.Int("shrink", 0, "maximum number of runs to shrink a seed that broke a rule to a smaller variant that still breaks it")
 	flag.Parse()
 	faults, err := parseFaults(*only)
@@ -37,7 +39,11 @@
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(2)
 	}
-	c := trial.Config{Only: faults, Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: 3, Grace: time.Second, Lasts: *duration, Seed: *first}
+	c := trial.Config{Only: faults, Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: *clients, Grace: time.Second, Lasts: *duration, Seed: *first, Stops: stopKinds[*stops]}
+	if _, known := stopKinds[*stops]; !known {
+		fmt.Fprintln(os.Stderr, "trial: -stops is restarts, upgrades or both")
+		os.Exit(2)
+	}
 	var courses []trial.Config
 	if *scenes {
 		courses = sceneCourses(c)
@@ -45,6 +51,9 @@
 		for i := range *seeds {
 			c.Seed = *first + uint64(i)
 			c.Asked, c.Crowd = c.Seed%2 == 0, c.Seed%5 == 0
+			if c.OrderDeadline = 0; c.Seed%3 == 0 {
+				c.OrderDeadline = longOrderDeadline
+			}
 			if *cold {
 				c.Cold = drawColdStart(c.Seed)
 			}
@@ -56,6 +65,13 @@
 	}
 }
 
+// stopKinds are the values of -stops.
+var stopKinds = map[string]trial.StopKind{"": 0, "restarts": trial.Restarts, "upgrades": trial.Upgrades, "both": trial.Restarts | trial.Upgrades}
+
+// longOrderDeadline is the deadline of unsafe requests in a third of the seeds: it lies behind the kill of
+// a process that is stopped when they arrive.
+const longOrderDeadline = 5 * time.Second
+
 // drawColdStart draws the cold start settings of endpoints, in the ranges of the platform.
 func drawColdStart(seed uint64) *lab.ColdStart {
 	rng := rand.New(rand.NewPCG(seed, 45))
@@ -155,8 +171,8 @@
 		fmt.Printf("seed %d: %v\n", c.Seed, err)
 		return failed, nil
 	}
-	fmt.Printf("seed %d asked %t %s: %d requests, %d served, %d refused, %d failed, %d faults, %d calls, at most %d a second, held up %v at most: %s\n",
-		c.Seed, c.Asked, describeCourse(c, r), r.Asked, r.Served, r.Refused, r.Failed, len(r.Faults), r.Calls, r.MostCalls, r.Worst.Round(time.Millisecond), r.Summary())
+	fmt.Printf("seed %d asked %t %s: %d requests, %d served, %d refused, %d failed, %d faults, %d calls, at most %d a second, held up %v at most, %s: %s\n",
+		c.Seed, c.Asked, describeCourse(c, r), r.Asked, r.Served, r.Refused, r.Failed, len(r.Faults), r.Calls, r.MostCalls, r.Worst.Round(time.Millisecond), describeStops(r), r.Summary())
 	if len(r.Broken) == 0 || keepDir == "" {
 		os.RemoveAll(c.Dir)
 	}
@@ -175,6 +191,21 @@
 	return outcomeOf(r.Broken), r
 }
 
+// describeStops describes the planned ends of processes in a run.
+func describeStops(r *trial.Report) string {
+	upgrades, killed, longest := 0, 0, time.Duration(0)
+	for _, s := range r.Stops {
+		if s.Upgrade {
+			upgrades++
+		}
+		if s.Killed {
+			killed++
+		}
+		longest = max(longest, s.Took)
+	}
+	return fmt.Sprintf("%d upgrades, %d restarts, %d killed, longest %v, %d met a close", upgrades, len(r.Stops)-upgrades, killed, longest.Round(time.Millisecond), r.Doors)
+}
+
 // describeCourse describes a course; for a scene also when the drain was sent to its sidecars.
 func describeCourse(c trial.Config, r *trial.Report) string {
 	if c.Scene == nil && c.Cold == nil {
--- a/internal/lab/trial/client.go
+++ b/internal/lab/trial/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 )
@@ -22,13 +23,35 @@
 	unsafe
 )
 
-// classes are those of the trial's settings.
-var classes = []struct {
+// class is a class of requests in the trial's settings.
+type class struct {
 	name     string
 	effect   effect
 	deadline time.Duration
-	window   time.Duration
-}{
+	window   time.Duration // in which endpoints drop repeats of a key
+}
+
+// orderClass is the index of the class whose deadline a run may change.
+const orderClass = 2
+
+// classes are those of a run.
+func (c *Config) classes() []class {
+	all := slices.Clone(defaultClasses)
+	if c.OrderDeadline > 0 {
+		all[orderClass].deadline = c.OrderDeadline
+	}
+	return all
+}
+
+// longestDeadline is that of all classes of a run.
+func (c *Config) longestDeadline() (longest time.Duration) {
+	for _, k := range c.classes() {
+		longest = max(longest, k.deadline)
+	}
+	return longest
+}
+
+var defaultClasses = []class{
 	{"map-tile", safe, 900 * time.Millisecond, 0},
 	{"status-report", keyed, 700 * time.Millisecond, 600 * time.Millisecond},
 	{"order", unsafe, 800 * time.Millisecond, 0},
@@ -56,6 +79,12 @@
 	leavesPart  = 0.05
 	restsPart   = 0.02 // of requests behind which a client rests for some seconds
 	dialWithin  = time.Second
+	// earlyPart of the connections are made up to earlyAtMost before their first request.
+	earlyPart   = 0.2
+	earlyAtMost = 450 * time.Millisecond
+	// crossesAtMost is how long before the end of a connection a request may have been sent that the
+	// sidecar did not read: one that was sent earlier was in its hands.
+	crossesAtMost = 250 * time.Millisecond
 )
 
 // run sends until ctx ends.
@@ -65,8 +94,12 @@
 			c.conn.Close()
 		}
 	}()
+	mean := clientPause
+	if c.play.Stops != 0 { // slower clients hold their connections through more of a stop
+		mean = span(c.rng, clientPause/2, 11*clientPause)
+	}
 	for ctx.Err() == nil {
-		pause := time.Duration(c.rng.ExpFloat64() * float64(clientPause))
+		pause := time.Duration(c.rng.ExpFloat64() * float64(mean))
 		if c.burst {
 			pause /= 2
 		} else if c.rng.Float64() < restsPart {
@@ -77,24 +110,28 @@
 		case <-ctx.Done():
 			return
 		}
-		c.ask(c.rng.IntN(len(classes)), 2)
+		c.ask(c.rng.IntN(len(defaultClasses)), 2)
 	}
 }
 
 // ask sends one request, and once more where its connection ended before it was read.
 func (c *client) ask(class, tries int) {
 	side := c.play.sidecars[c.sidecar]
+	isNew := c.conn == nil
 	if !c.connect(side) {
 		return
 	}
+	if isNew && c.rng.Float64() < earlyPart { // the connection is made ahead of its first request
+		time.Sleep(time.Duration(c.rng.Int64N(int64(earlyAtMost))))
+	}
 	c.n++
-	id, k := fmt.Sprintf("%s-%d", c.name, c.n), classes[class]
+	id, k := fmt.Sprintf("%s-%d", c.name, c.n), c.play.classes()[class]
 	s := &sent{sidecar: c.sidecar, class: class, at: time.Now(), deadline: k.deadline}
 	c.play.judge.begins(id, s)
 	c.play.asked.Add(1)
 	reused := c.used
 	c.used = true
-	_, err := io.WriteString(c.conn, request(id, class))
+	_, err := io.WriteString(c.conn, request(id, k))
 	if err == nil && c.rng.Float64() < leavesPart {
 		time.Sleep(time.Duration(c.rng.Int64N(int64(k.deadline / 4))))
 		c.play.judge.leaves(id, time.Now())
@@ -122,7 +159,10 @@
 		c.play.judge.breaks(Lost, sure, "%s: closed without an answer after it was sent on: %v", id, err)
 	case !reused && !side.done.MayShut(c.begun, c.made) && side.crowds.Load() == 0:
 		c.play.judge.breaks(Lost, sure, "%s: a new connection was closed without an answer: %v", id, err)
+	case reused && took > crossesAtMost+c.play.judge.slack():
+		c.play.judge.breaks(Lost, c.play.judge.lateSince(s.at), "%s: closed without an answer %v after it was sent: %v", id, took.Round(time.Millisecond), err)
 	case tries > 1:
+		c.play.doors.Add(1)
 		c.ask(class, tries-1)
 	}
 }
@@ -173,8 +213,7 @@
 }
 
 // request is a request of a class in the protocol's form.
-func request(id string, class int) string {
-	k := classes[class]
+func request(id string, k class) string {
 	var b strings.Builder
 	method := "GET"
 	if k.effect != safe {
--- a/internal/lab/trial/endpoint.go
+++ b/internal/lab/trial/endpoint.go
@@ -34,6 +34,7 @@
 	moodResets
 	moodDeclines
 	moodSlow
+	moodOftenHangs // one in hangsOneIn attempts
 	moods
 )
 
@@ -86,6 +87,8 @@
 const (
 	usualWork = 5 * time.Millisecond
 	slowWork  = 250 * time.Millisecond
+	// hangsOneIn is how many attempts there are for one that hangs at an endpoint that often does.
+	hangsOneIn = 4
 )
 
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -99,6 +102,9 @@
 	e.mu.Lock()
 	mood := e.mood
 	e.mu.Unlock()
+	if mood == moodOftenHangs && rand.IntN(hangsOneIn) == 0 {
+		mood = moodHangs
+	}
 	told, _ := time.ParseDuration(strings.Replace(strings.Replace(r.Header.Get("Req-Deadline"), "u", "us", 1), "m", "ms", 1))
 	e.note(arrival{endpoint: e.name, cell: e.cell, id: r.Header.Get("Req-Id"), first: first, told: told, ran: mood != moodDeclines})
 	work := e.work
--- a/internal/lab/trial/faults.go
+++ b/internal/lab/trial/faults.go
@@ -53,6 +53,7 @@
 	{"an endpoint's mood", 5, (*play).moods},
 	{"connections to an endpoint", 5, (*play).connections},
 	{"a restart", 4, (*play).restartOne},
+	{"an upgrade", 4, (*play).upgradeOne},
 	{"a kill", 2, func(p *play, ctx context.Context, rng *rand.Rand) {
 		p.exchange(rng, func(s *sidecarProcess) { s.kill(ctx) })
 	}},
@@ -73,6 +74,9 @@
 	var playing sync.WaitGroup
 	defer playing.Wait()
 	faults, total := randomFaults, 0
+	if p.Stops != 0 {
+		faults = p.Stops.faults()
+	}
 	if p.Cold != nil {
 		faults = slices.Concat(randomFaults, coldFaults)
 	}
@@ -223,11 +227,6 @@
 	}
 }
 
-func (p *play) restartOne(ctx context.Context, rng *rand.Rand) {
-	series := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}[:rng.IntN(4)]
-	p.exchange(rng, func(s *sidecarProcess) { s.restart(ctx, series) })
-}
-
 // moveDiscovery gives a sidecar a new configuration, in which discovery is elsewhere.
 func (p *play) moveDiscovery(_ context.Context, rng *rand.Rand) {
 	p.exchange(rng, func(s *sidecarProcess) {
--- a/internal/lab/trial/judge.go
+++ b/internal/lab/trial/judge.go
@@ -216,6 +216,7 @@
 func (j *judge) duplicates() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	classes := j.config.classes()
 	for id, all := range j.arrivals {
 		s := j.requests[id]
 		if s == nil || classes[s.class].effect == safe {
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -13,7 +13,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"spokegw/internal/discovery"
@@ -38,7 +37,10 @@
 	Scene     *Scene         // a scripted course in place of a random one; nil: random
 	Crowd     bool           // idle clients fill the places of some sidecars
 	Cold      *lab.ColdStart // of endpoints that join, also under bursts; nil: none is cold
-	Only      []int          // numbers of the faults of a random course that are played; nil: all are
+	Stops     StopKind       // nothing but planned stops of these kinds is played; 0: all faults are
+	// OrderDeadline is the deadline of the unsafe class; 0: the usual one.
+	OrderDeadline time.Duration
+	Only          []int // numbers of the faults of a random course that are played; nil: all are
 }
 
 // Scene is a course in which open watches fall silent, one endpoint begins to drain 0.2 s
@@ -62,6 +64,8 @@
 	Cold                           int                 // endpoints that were sent something while they were cold
 	Used                           float64             // of what one of them may be sent, at most
 	Worst                          time.Duration       // that this process was held up at once
+	Stops                          []Stop              // in the order of their ends
+	Doors                          int64               // requests that met the close of their connection and were sent again
 }
 
 // play is a run.
@@ -75,11 +79,12 @@
 	rng       *rand.Rand
 	entries   map[string]discovery.Entry
 
-	asked, served, refused, failed atomic.Int64
+	asked, served, refused, failed, doors atomic.Int64
 
 	mu     sync.Mutex
 	faults []string
 	played []int // by the goroutine of random alone
+	stops  []Stop
 	begun  time.Time
 }
 
@@ -243,6 +248,7 @@
 	r := &Report{Asked: p.asked.Load(), Served: p.served.Load(), Refused: p.refused.Load(), Failed: p.failed.Load(), Faults: p.faults, Late: p.judge.late,
 		Played: p.played, Cold: len(used), Used: slices.Max(append(used, 0))}
 	r.Heard, r.Unheard = p.judge.heard()
+	r.Stops, r.Doors = p.stops, p.doors.Load()
 	perSecond := map[int]int{}
 	for _, reg := range p.registry {
 		reg.mu.Lock()
@@ -301,7 +307,7 @@
 		cold = *s.Cold
 	}
 	var cs []scene.Class
-	for _, k := range classes {
+	for _, k := range s.classes() {
 		cs = append(cs, scene.Class{"name": k.name, "effect": effects[k.effect], "key_scope": "cell", "dedup_window_ms": k.window.Milliseconds(),
 			"worth": 1, "late_worth": 0.5, "aim_ms": k.deadline.Milliseconds() / 2, "hard_limit_ms": k.deadline.Milliseconds()})
 	}
@@ -323,41 +329,28 @@
 			return err
 		}
 	}
-	proc, err := process.Start(s.Program, "", append([]string{"NODE_CONFIG=" + s.config, "TMPDIR=" + s.Dir}, s.Env...), s.log)
+	proc, err := s.startProcess()
 	if err != nil {
 		return err
 	}
-	ready, cancel := context.WithTimeout(ctx, readyWithin)
-	defer cancel()
 	s.proc = proc
-	if _, err := proc.Ready(ready); err != nil && ctx.Err() == nil {
-		s.judge.breaks(Crash, sure, "%s is not ready in %v: %v", s.name, readyWithin, err)
-	}
+	s.awaitReady(ctx, proc)
 	s.done.GoesOn()
 	return nil
 }
 
-// longestDeadline is that of the classes.
-const longestDeadline = 900 * time.Millisecond
+// startProcess starts a process, beside the one that serves if there is one.
+func (s *sidecarProcess) startProcess() (*process.Process, error) {
+	return process.Start(s.Program, "", append([]string{"NODE_CONFIG=" + s.config, "TMPDIR=" + s.Dir}, s.Env...), s.log)
+}
 
-// restart ends the process by SIGTERM, kills it as soon as the protocol allows, and starts
-// another.
-func (s *sidecarProcess) restart(ctx context.Context, series []syscall.Signal) {
-	s.crashed()
-	s.done.Begins(process.Told)
-	s.proc.Signal(syscall.SIGTERM)
-	for _, sig := range series {
-		wait(ctx, 30*time.Millisecond)
-		s.proc.Signal(sig)
-	}
-	select {
-	case <-s.proc.Ended:
-	case <-time.After(longestDeadline + 700*time.Millisecond):
-		s.proc.Kill()
-		<-s.proc.Ended
+// awaitReady waits until a process is ready, and judges that it is in time.
+func (s *sidecarProcess) awaitReady(ctx context.Context, proc *process.Process) {
+	ready, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if _, err := proc.Ready(ready); err != nil && ctx.Err() == nil {
+		s.judge.breaks(Crash, sure, "%s is not ready in %v: %v", s.name, readyWithin, err)
 	}
-	s.done.HasEnded()
-	s.again(ctx)
 }
 
 // kill kills the process outright and starts another.
