--- a/internal/sidecar/persistence_test.go
+++ b/internal/sidecar/persistence_test.go
@@ -225,3 +225,24 @@
 		}
 	}
 }
+
+// A disk that hangs does not keep a stop beyond the earliest kill.
+func TestStopWithHangingDiskEndsBeforeTheKill(t *testing.T) {
+	const deadline, kill = 100 * time.Millisecond, 800 * time.Millisecond
+	d := disk.New(1)
+	t.Cleanup(d.Answer) // after the scene has been closed
+	s := startReady(t, scene.Config{Maps: twoPods(nil, nil), Aim: deadline / 2, Deadline: deadline, Disk: d,
+		Operator: moveFile(moveToPod1) + "\n[state]\ndirectory = \"/state\"\n"})
+	if a := ask(t, s, tile("a")); a.status != 200 {
+		t.Errorf("status %d", a.status)
+	}
+	d.Hang()
+	signalled := time.Now()
+	s.Stop()
+	if err := s.Wait(); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(signalled); took >= kill {
+		t.Errorf("the stop took %v", took)
+	}
+}
