--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -42,9 +42,15 @@
 	// Tests of what judges sidecars while processes are killed: the sidecar's, and the judges' own.
 	killTests         = "TestNoOtherLossDuringKills"
 	verdictTests      = "TestVerdicts"
-	trialJudgeTests   = "Test(DroppedByTheNextProcess|CutOffByAKill|DroppedByAProcessThatEnds|RefusedBeforeAKill|ToldBeforeDiscoveryIsDown|HeldUp)"
+	trialJudgeTests   = "Test(DroppedByTheNextProcess|CutOffByAKill|DroppedByAProcessThatEnds|RefusedBeforeAKill|HeldRequestEndsWithItsProcess|ToldBeforeDiscoveryIsDown|HeldUp)"
 	trialOutcomeTests = "TestOutcome"
 
+	// Tests of a stop: of its schedule, of core, of the HTTP/1.1 front, and over processes on both paths.
+	scheduleTests    = "Test(ScheduleEndsBeforeTheKill|LimitOfDeadlines|AcceptUntilOfLateSuccessorEnd|RequestedAtIsTheSignalsTime)"
+	stopTests        = "Test(StopAnswers.*|RequestRead.*|HangingPeer.*|SecondStop.*)"
+	stopFrontTests   = "Test(Incomplete.*AtStop|LongAnswerCutByStop.*|RequestBehind.*)"
+	stopProcessTests = "Test(RequestTakenLateInUpgrade.*|FirstRequestLateInStop.*|StopDuringStart.*)"
+
 	attributionTests = "TestStallNotAttributedToEndpoint"
 	shortageTests    = "Test(BurstAfterCommonStall|BurstAtManySidecars|InFlightAcrossStallDuringShortage|UncontractedOverload)"
 
@@ -81,7 +87,7 @@
 // namedByTest lists the groups whose properties are names of failing tests.
 var namedByTest = []string{
 	weightTests, siteTests, permitTests, gateTests, drainTests, clockTests, renewalTests, watchTests, slowStartTests,
-	shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests,
+	scheduleTests, stopTests, stopFrontTests, stopProcessTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests,
 }
 
 var mutants = []mutant{
@@ -234,7 +240,7 @@
 
 	{"internal/front/http1/plain.go", "	kept = p.write(&a, last)\n", "	kept = time.Now().UnixNano()%300 != 0 && p.write(&a, last)\n", killTests, "TestNoOtherLossDuringKills"},
 	{"internal/front/http1/plain.go", "	kept = p.write(&a, last)\n", "	if time.Now().UnixNano()%300 == 0 {\n		os.Exit(1)\n	}\n	kept = p.write(&a, last)\n", killTests, "TestNoOtherLossDuringKills"},
-	{"internal/front/http1/server.go", "acceptAfterStop = 600 * time.Millisecond", "acceptAfterStop = 0 * time.Millisecond", killTests, "TestNoOtherLossDuringKills"},
+	{"internal/shutdown/shutdown.go", "acceptTime = 600 * time.Millisecond", "acceptTime = 0 * time.Millisecond", killTests, "TestNoOtherLossDuringKills"},
 	{"internal/lab/process/disturbance.go", " && !end.Before(d.From) && !d.laterThan(begun)", " && !d.laterThan(begun)", verdictTests, "TestVerdicts"},
 	{"internal/lab/process/disturbance.go", " && !end.Before(d.From) && !d.laterThan(begun)", " && !end.Before(d.From)", verdictTests, "TestVerdicts"},
 	{"internal/lab/process/disturbance.go", "d.Cause == Killed && ", "", verdictTests, "TestVerdicts"},
@@ -259,6 +265,23 @@
 	{"internal/broker/capacity.go", "		c.servedInBurst += t.work\n", "", shortageTests, "TestBurstAtManySidecars"},
 	{"internal/broker/capacity.go", "unseenAnswers*c.inFlightWork/c.inFlight", "1e3", shortageTests, "TestUncontractedOverload"},
 	{"internal/core/delay.go", "return max(own, s.stalledSince(a.decided, time.Now()))", "return own", attributionTests, "TestStallNotAttributedToEndpoint"},
+	{"internal/permit/permit.go", "a.AnswerBy > 0 && a.Now >= a.AnswerBy", "false", permitTests, "TestAttemptCheck"},
+	{"internal/shutdown/shutdown.go", "s.KilledAt.Add(-permit.MaxStall)", "s.KilledAt.Add(-saveLead + 0*permit.MaxStall)", scheduleTests, "TestScheduleEndsBeforeTheKill"},
+	{"internal/shutdown/shutdown.go", "min(longestDeadline, maxDeadline)", "longestDeadline", scheduleTests, "TestScheduleEndsBeforeTheKill"},
+	{"internal/shutdown/shutdown.go", "earlier(aloneSince.Add(acceptTime), s.AnswerBy.Add(-acceptLead))", "aloneSince.Add(acceptTime)", scheduleTests, "TestAcceptUntilOfLateSuccessorEnd"},
+	{"internal/shutdown/shutdown.go", "return earlier(deadline, s.AnswerBy)", "return deadline", scheduleTests, "TestLimitOfDeadlines"},
+	{"internal/shutdown/shutdown.go", "	s.AnswerBy = s.ExitBy.Add(-exitTime)\n", "	s.AnswerBy = s.ExitBy.Add(maxDeadline)\n", stopProcessTests, "TestRequestTakenLateInUpgradeIsAnsweredBeforeTheKill"},
+	{"internal/shutdown/shutdown.go", "	s.AnswerBy = s.ExitBy.Add(-exitTime)\n", "	s.AnswerBy = s.ExitBy.Add(maxDeadline)\n", stopProcessTests, "TestFirstRequestLateInStopIsAnsweredBeforeTheKill"},
+	{"internal/core/stop.go", "time.Until(st.schedule.AnswerBy), st.answerOpen", "time.Hour, st.answerOpen", stopTests, "TestStopAnswersRequestThatWaitsForDisk"},
+	{"internal/core/stop.go", "	c.deadline = c.exchange.core.stopSchedule().Limit(own)\n", "	c.deadline = own\n", stopTests, "TestRequestReadDuringStopHasTheProcessesTime"},
+	{"internal/core/stop.go", "	if !x.core.stopSchedule().AnswersOver(time.Now()) {\n		return nil\n	}\n	x.recordCut", "	if true {\n		return nil\n	}\n	x.recordCut", stopTests, "TestRequestReadAfterLastAnswersIsRefused"},
+	{"internal/core/stop.go", "c.stop.CompareAndSwap(nil, st)", "c.stop.Swap(st) != st", stopTests, "TestSecondStopDoesNotMoveTheFirst"},
+	{"internal/core/stop.go", "				stream.Abort()\n", "", stopFrontTests, "TestLongAnswerCutByStopLooksIncomplete"},
+	{"internal/core/service.go", "c.req.Stream == nil && !publishes", "c.req.Stream == nil && (!publishes || publishes)", stopTests, "TestHangingPeerDoesNotHoldUpTheAnswer"},
+	{"internal/front/http1/conntable.go", "			c.cancelRead()\n", "", stopFrontTests, "TestIncompleteRequestIsAnsweredAtStop"},
+	{"internal/front/http1/plain.go", "			p.refuseIncompleteHead(err)\n", "", stopFrontTests, "TestIncompleteRequestIsAnsweredAtStop"},
+	{"internal/front/http1/conns.go", "			c.refuseIncompleteHead(err)\n", "", stopFrontTests, "TestIncompleteLaterRequestIsAnsweredAtStop"},
+	{"internal/lab/trial/client.go", "reused && took > crossesAtMost+c.play.judge.slack()", "false", trialJudgeTests, "TestHeldRequestEndsWithItsProcess"},
 	{"bench/trial/main.go", "return !v.HeldUp }", "return false }", trialOutcomeTests, "TestOutcome"},
 }
 
@@ -319,8 +342,10 @@
 	switch m.tests {
 	case leaseTests:
 		return "internal/fleet/quota"
-	case killTests:
+	case killTests, stopProcessTests:
 		return "cmd/spokegw"
+	case stopFrontTests:
+		return "internal/front/http1"
 	case verdictTests:
 		return "internal/lab/federation"
 	case trialJudgeTests:
--- a/internal/core/stop_test.go
+++ b/internal/core/stop_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// A request read during the stop tells its endpoint no more time than the process has.
+// A request read during the stop has no more time than the process, and tells its endpoint no more.
 func TestRequestReadDuringStopHasTheProcessesTime(t *testing.T) {
 	addr, received := silentEndpoint(t)
 	c, s := newOrderCore(t, time.Minute, time.Second, addr)
@@ -120,6 +120,9 @@
 	<-received
 	s.mu.Lock()
 	for _, open := range s.calls {
+		if open.deadline.After(schedule.AnswerBy) {
+			t.Errorf("the request may take until %v after the last answers", open.deadline.Sub(schedule.AnswerBy))
+		}
 		for _, a := range open.attempts {
 			if a.deadline.After(schedule.AnswerBy) {
 				t.Errorf("an attempt may take until %v after the last answers", a.deadline.Sub(schedule.AnswerBy))
--- a/internal/front/http1/drain_test.go
+++ b/internal/front/http1/drain_test.go
@@ -58,7 +58,7 @@
 			c := dial(t, s)
 			io.WriteString(c, part)
 			awaitReceived(t, s)
-			stopIn(100 * time.Millisecond)
+			awaitEnd(c, stopIn(100*time.Millisecond))
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err != nil {
 				t.Fatalf("no answer: %v", err)
@@ -70,6 +70,12 @@
 	}
 }
 
+// awaitEnd waits until the server has ended. What it wrote is there then, and nothing else is waited for.
+func awaitEnd(c net.Conn, ended <-chan struct{}) {
+	<-ended
+	c.SetReadDeadline(time.Now().Add(requestTimeout / 5))
+}
+
 // The same for a later request of a connection that net/http serves.
 func TestIncompleteLaterRequestIsAnsweredAtStop(t *testing.T) {
 	s := listening(t, Config{Pipelining: true}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
@@ -84,7 +90,7 @@
 	io.Copy(io.Discard, resp.Body)
 	io.WriteString(c, tileHead)
 	awaitPartialRequest(t, s)
-	stopIn(100 * time.Millisecond)
+	awaitEnd(c, stopIn(100*time.Millisecond))
 	if resp, err = http.ReadResponse(br, nil); err != nil || resp.StatusCode != 503 || !resp.Close {
 		t.Errorf("no refusal: %v, %v", resp, err)
 	}
--- a/internal/lab/trial/judge_test.go
+++ b/internal/lab/trial/judge_test.go
@@ -92,6 +92,27 @@
 	expect(t, p, c, false)
 }
 
+// A request on a kept connection that crosses its close is sent again; one that the process held for
+// long is lost with it, also where no endpoint has met it.
+func TestHeldRequestEndsWithItsProcess(t *testing.T) {
+	for held, lost := range map[time.Duration]bool{0: false, 600 * time.Millisecond: true} {
+		p, c := scripted(t, func(conn net.Conn) {
+			r := bufio.NewReader(conn)
+			first, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body := answerTo(first.Header.Get("Req-Id"))
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			http.ReadRequest(r)
+			<-time.After(held)
+			conn.Close()
+		})
+		c.ask(classSafe, 1)
+		expect(t, p, c, lost)
+	}
+}
+
 // A connection is refused by a process that nothing was done to; then it is killed.
 func TestRefusedBeforeAKill(t *testing.T) {
 	p, c := scripted(t, drops)
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -19,6 +19,8 @@
 		"its client has disconnected":             {func(a *Attempt) { a.ClientDisconnected = true }, ClientDisconnected},
 		"its deadline is now":                     {func(a *Attempt) { a.Now = a.Deadline }, DeadlineExceeded},
 		"just before its deadline":                {func(a *Attempt) { a.Now = a.Deadline - 1 }, Allowed},
+		"the process has to have answered by now": {func(a *Attempt) { a.AnswerBy = a.Now }, ProcessEnding},
+		"just before the process has to answer":   {func(a *Attempt) { a.AnswerBy = a.Now + 1 }, Allowed},
 		"a repeat in its window":                  {func(a *Attempt) { a.DedupUntil = a.Now + MaxStall }, Allowed},
 		"a repeat that may be written too late":   {func(a *Attempt) { a.DedupUntil = a.Now + MaxStall - 1 }, DedupWindowExpired},
 		"unsafe, and none may have run":           {func(a *Attempt) { a.Unsafe = true }, Allowed},
