--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -416,86 +415,3 @@
 		p.applyReadDeadline(deadline)
 	}
 }
-
-// plainBody is a body of declared length, of which a part may have arrived with the
-// head.
-type plainBody struct {
-	p         *plain
-	buffered  []byte
-	remaining int64 // to be read, including buffered
-}
-
-func (b *plainBody) Read(to []byte) (n int, err error) {
-	switch {
-	case b.remaining == 0:
-		return 0, io.EOF
-	case len(b.buffered) > 0:
-		n = copy(to, b.buffered)
-		b.buffered = b.buffered[n:]
-	default:
-		n, err = b.p.receive(to[:min(int64(len(to)), b.remaining)])
-		b.p.bufferFull = true // it is unknown whether more follows
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-	}
-	if b.remaining -= int64(n); b.remaining == 0 {
-		b.p.setRequestRead(true)
-	}
-	return n, err
-}
-
-// paced is the body with a minimum transfer rate.
-func (b *plainBody) paced() io.Reader {
-	if b.remaining == int64(len(b.buffered)) {
-		return b
-	}
-	return front.NewPacedBody(b, b.p, time.Duration(b.p.started.Load()))
-}
-
-// readAll reads a body within the memory that the core grants for it.
-func (b *plainBody) readAll(x *core.Exchange) ([]byte, error) {
-	if b.remaining == 0 {
-		return nil, nil
-	}
-	text, _, err := front.ReadBody(b.paced(), b.remaining, x.ReserveBody)
-	return text, err
-}
-
-// fallbackListener hands connections to net/http's server.
-type fallbackListener struct {
-	addr   net.Addr
-	conns  chan *clientConn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newFallbackListener(addr net.Addr) *fallbackListener {
-	return &fallbackListener{addr: addr, conns: make(chan *clientConn), closed: make(chan struct{})}
-}
-
-// offer reports false if the server accepts no more.
-func (r *fallbackListener) offer(c *clientConn) bool {
-	select {
-	case r.conns <- c:
-		return true
-	case <-r.closed:
-		return false
-	}
-}
-
-func (r *fallbackListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-r.conns:
-		return c, nil
-	case <-r.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (r *fallbackListener) Close() error {
-	r.once.Do(func() { close(r.closed) })
-	return nil
-}
-
-func (r *fallbackListener) Addr() net.Addr { return r.addr }
