--- a/internal/front/http1/drain.go
+++ b/internal/front/http1/drain.go
@@ -30,14 +30,15 @@
 
 // logStop logs what is open when the stop begins, and by when it is answered.
 func (s *Server) logStop(successorTookOver bool, schedule *shutdown.Schedule) {
-	text := "stopping"
-	if successorTookOver {
-		text = "stopping; another process has taken over"
-	}
 	all, busy := s.conns.count()
 	sinceSignal := func(t time.Time) time.Duration { return t.Sub(schedule.RequestedAt).Round(time.Millisecond) }
-	slog.Info(text, "connections", all, "requests", busy, "noticed_after", sinceSignal(time.Now()),
-		"answers_within", sinceSignal(schedule.AnswerBy), "exit_within", sinceSignal(schedule.ExitBy), "kill_after", sinceSignal(schedule.KilledAt))
+	details := []any{"connections", all, "requests", busy, "noticed_after", sinceSignal(time.Now()),
+		"answers_within", sinceSignal(schedule.AnswerBy), "exit_within", sinceSignal(schedule.ExitBy), "kill_after", sinceSignal(schedule.KilledAt)}
+	if successorTookOver {
+		slog.Info("stopping; another process has taken over", details...)
+	} else {
+		slog.Info("stopping", details...)
+	}
 }
 
 // drainAlone stops a server without a successor. Connections are still accepted for a while. Idle
