--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -334,3 +335,21 @@
 		})
 	}
 }
+
+// Keyed requests that the old process answers at its end without a result are repeated at the successor in their cells.
+func TestKeyCutShortByStopIsRepeatedInItsCell(t *testing.T) {
+	u := upgrade(t, 20)
+	u.send("first-", u.toOld)
+	u.old.Stop()
+	for i, c := range u.conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+			t.Errorf("key %d: %v, %v", i, resp, err)
+		}
+	}
+	if err := u.old.Wait(); err != nil {
+		t.Error(err)
+	}
+	u.send("again-", u.toNext)
+	u.checkSameCell()
+}
