--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -20,7 +20,7 @@
 	exitTime = 100 * time.Millisecond
 	// idleLead is how long before the last answers idle connections are closed: requests that cross
 	// the close are read and answered.
-	idleLead = 100 * time.Millisecond
+	idleLead = 50 * time.Millisecond
 	// acceptTime is how long connections are accepted without a successor: clients learn of the stop
 	// with a delay. acceptLead is the least time that such a connection is left before the last answers.
 	acceptTime = 600 * time.Millisecond
