--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -139,7 +139,7 @@
 	core      *Core
 	service   *Service
 	slot      *classSlot    // of its class
-	time      time.Duration // that its client gave it, from when the request was received
+	timeGiven time.Duration // by its client, from when the request was received
 	head      *Head
 	opened    time.Time
 	received  time.Time // when the request was received completely, as its deadline counts from then; zero: not yet
@@ -173,7 +173,7 @@
 			class.open.Add(-1)
 			continue
 		}
-		x := &Exchange{core: c, service: m.Service, slot: class.classSlot, head: h, opened: time.Now(), request: q, time: q.TimeLeft}
+		x := &Exchange{core: c, service: m.Service, slot: class.classSlot, head: h, opened: time.Now(), request: q, timeGiven: q.TimeLeft}
 		x.trace = c.taps.begin(h, m.name, class.name, class.rules.Aim)
 		refused = x.refuseLate()
 		if refused == nil {
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -182,7 +182,7 @@
 	}
 	x.service.log.Info("request cut short by the stop", append([]any{
 		"request", x.head.Header.Get("Req-Id"), "class", x.slot.name, "cause", cause,
-		"had", x.time.Round(time.Millisecond), "left", (x.time - now.Sub(received)).Round(time.Millisecond),
+		"had", x.timeGiven.Round(time.Millisecond), "left", (x.timeGiven - now.Sub(received)).Round(time.Millisecond),
 		"since_stop", now.Sub(x.core.stopSchedule().RequestedAt).Round(time.Millisecond),
 	}, details...)...)
 }
