spokegw, http1, shutdown: tests of the hard cases of a stop that had none

Deadlines of 0.1 to 10 s together with requests at every moment, a third process while the first ends, callers that never finish, a body in pieces across the signal, monotonic instants.

--- a/cmd/spokegw/stop_test.go
+++ b/cmd/spokegw/stop_test.go
@@ -229,3 +229,83 @@
 		t.Errorf("after SIGTERM to the new process: status %d", status)
 	}
 }
+
+// Classes with deadlines of 0.1, 1.2, 3 and 10 s, and requests of each at every moment of a stop: all have an answer before the kill (report 3ad31a).
+func TestRequestsAtEveryMomentOfAStopAreAnswered(t *testing.T) {
+	t.Parallel()
+	const longest, sends = 10 * time.Second, 40
+	s := newHangingFixture(t, longest)
+	s.deadlines = map[string]time.Duration{"quick": 100 * time.Millisecond, "usual": 1200 * time.Millisecond, "long": 3 * time.Second, "map-tile": longest}
+	classes := []string{"quick", "usual", "long", "map-tile"}
+	s.configure(classes...)
+	old := s.start()
+	old.ready(t)
+	var kept []net.Conn
+	for range sends {
+		kept = append(kept, s.keptConnection())
+	}
+	s.start().ready(t)
+	signalled := old.killAtEarliest(t, longest)
+	for i, c := range kept {
+		<-time.After(time.Until(signalled.Add(time.Duration(i) * 1900 * time.Millisecond / sends))) // idle ones are closed after 2 s
+		class := classes[i%len(classes)]
+		fmt.Fprintf(c, "GET /%s?user=k HTTP/1.1\r\nHost: b\r\nReq-Deadline: %dm\r\nReq-Id: hangs-%d\r\n\r\n", class, s.deadlines[class].Milliseconds(), i)
+	}
+	for i, c := range kept {
+		checkAnswered(t, c, fmt.Sprint("request ", i, " of class ", classes[i%len(classes)]))
+	}
+	await(t, "the old process to end", old.Ended)
+	if took := time.Since(signalled); took >= killedAfter(longest) {
+		t.Errorf("the old process ended after %v", took)
+	}
+}
+
+// Three processes in a row: the first still ends when the third takes over from the second, and neither loses what it has (report 3ad31a).
+func TestThirdProcessWhileTheFirstStopsLosesNoRequest(t *testing.T) {
+	t.Parallel()
+	const deadline = 1200 * time.Millisecond
+	s := newHangingFixture(t, deadline)
+	first := s.start()
+	first.ready(t)
+	atFirst := s.keptConnection()
+	second := s.start()
+	second.ready(t)
+	atSecond := s.keptConnection()
+	signalled := first.killAtEarliest(t, deadline)
+	<-time.After(time.Until(signalled.Add(500 * time.Millisecond)))
+	sendHanging(atFirst, "first", deadline)
+	third := s.start()
+	third.ready(t)
+	second.killAtEarliest(t, deadline)
+	<-time.After(time.Until(signalled.Add(time.Second)))
+	sendHanging(atSecond, "second", deadline)
+	checkAnswered(t, atFirst, "at the first process")
+	checkAnswered(t, atSecond, "at the second process")
+	await(t, "the first process to end", first.Ended)
+	await(t, "the second process to end", second.Ended)
+	if status := s.get("map-tile"); status != 200 {
+		t.Errorf("the third process answers %d", status)
+	}
+}
+
+// Callers of the second address that never finish their call do not keep a process beyond its kill (report 3ad31a).
+func TestHangingCallersDoNotDelayTheEndOfAStop(t *testing.T) {
+	t.Parallel()
+	const deadline = 100 * time.Millisecond
+	s := newHangingFixture(t, deadline)
+	p := s.start()
+	p.ready(t)
+	for _, part := range []string{"", "show-st", "show-stat\n"} {
+		c, err := net.Dial("tcp", p.Management)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, part)
+	}
+	signalled := p.killAtEarliest(t, deadline)
+	await(t, "the process to end", p.Ended)
+	if took := time.Since(signalled); took >= killedAfter(deadline) {
+		t.Errorf("the process ended after %v", took)
+	}
+}
--- a/cmd/spokegw/upgrade_test.go
+++ b/cmd/spokegw/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -29,11 +30,12 @@
 	listen         string
 	registry       *lab.Registry
 	endpoint       *lab.Endpoint
-	extraEndpoints []*lab.Endpoint // in addition to endpoint
-	operator       string          // path of the operator's file; "": none
-	log            io.Writer       // of the processes
-	aim, deadline  time.Duration   // of the classes
-	memory         int             // configured limit in MB
+	extraEndpoints []*lab.Endpoint          // in addition to endpoint
+	operator       string                   // path of the operator's file; "": none
+	log            io.Writer                // of the processes
+	aim, deadline  time.Duration            // of the classes
+	deadlines      map[string]time.Duration // of single classes, in place of deadline
+	memory         int                      // configured limit in MB
 	sockets        int
 	answerFunc     func(http.ResponseWriter, *http.Request) bool // handler of endpoint; nil or false: its default
 	requestCount   atomic.Int64
@@ -77,7 +79,8 @@
 func (s *sidecarFixture) configure(classes ...string) {
 	var all []scene.Class
 	for _, c := range classes {
-		all = append(all, scene.Class{"name": c, "effect": "read_like", "hard_limit_ms": s.deadline.Milliseconds(), "aim_ms": s.aim.Milliseconds()})
+		deadline := cmp.Or(s.deadlines[c], s.deadline)
+		all = append(all, scene.Class{"name": c, "effect": "read_like", "hard_limit_ms": deadline.Milliseconds(), "aim_ms": min(s.aim, deadline/2).Milliseconds()})
 	}
 	text := scene.Configuration(scene.Platform{
 		Name: "n0", Listen: s.listen, Registry: s.registry.Addr(), Endpoints: append([]*lab.Endpoint{s.endpoint}, s.extraEndpoints...),
--- a/internal/front/http1/drain_test.go
+++ b/internal/front/http1/drain_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// A body that comes in pieces during a stop, half of it there at the signal, is waited for and served.
+func TestBodyInPiecesAcrossStopIsServed(t *testing.T) {
+	s := listening(t, Config{}, nil, listenEndpoint(t, echo(func(*http.Request) {})))
+	stopIn := serveUntilStop(t, s)
+	c := dial(t, s)
+	io.WriteString(c, reportHead+"Req-Id: pieces\r\nContent-Length: 10\r\n\r\n12345")
+	awaitPartialRequest(t, s)
+	stopIn(2 * time.Second)
+	for _, piece := range []string{"6", "78", "9", "0"} {
+		<-time.After(100 * time.Millisecond)
+		io.WriteString(c, piece)
+	}
+	if status, body := read(t, c); status != 200 || body != "pieces" {
+		t.Errorf("status %d: %s", status, body)
+	}
+}
+
 // awaitEnd waits until the server has ended. What it wrote is there then, and nothing else is waited for.
 func awaitEnd(c net.Conn, ended <-chan struct{}) {
 	<-ended
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,6 +54,18 @@
 	}
 }
 
+// Steps of the wall clock do not move the instants: each has a reading of the monotonic clock.
+func TestScheduleIsOnTheMonotonicClock(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(&Requested{At: time.Now()})
+	s := NewSchedule(RequestedAt(ctx), time.Second)
+	for _, at := range []time.Time{s.RequestedAt, s.IdleUntil, s.AnswerBy, s.ExitBy, s.SaveBy, s.KilledAt, s.AcceptUntil(s.RequestedAt), s.Limit(s.KilledAt)} {
+		if !strings.Contains(at.String(), " m=") {
+			t.Errorf("%v has no monotonic reading", at)
+		}
+	}
+}
+
 // A process that is alone again late in its stop accepts no longer than it can answer.
 func TestAcceptUntilOfLateSuccessorEnd(t *testing.T) {
 	now := time.Now()
