--- a/internal/front/http1/drain_test.go
+++ b/internal/front/http1/drain_test.go
@@ -16,7 +16,7 @@
 )
 
 // serveUntilStop runs a server until stopIn is called: its stop was then requested so long ago that the
-// last answers are due after left. It returns when the server has ended.
+// last answers are due after left. stopIn returns when the server has begun the stop.
 func serveUntilStop(t *testing.T, s *Server) (stopIn func(left time.Duration) (ended <-chan struct{})) {
 	t.Helper()
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -35,6 +35,11 @@
 		now := time.Now()
 		schedule := shutdown.NewSchedule(now, s.core.MaxDeadline())
 		cancel(&shutdown.Requested{At: now.Add(left - schedule.AnswerBy.Sub(now))})
+		for until := now.Add(waitTimeout); !s.core.Stopping(); <-time.After(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatal("the stop does not begin")
+			}
+		}
 		return done
 	}
 }
