http1: each write of an answer has its own deadline, whatever the body took

Cause: http.Server.WriteTimeout sets the write deadline at the end of a head, and net/http leaves it in force while the body arrives; it was 2.5 s, the longest deadline and 5 s. What was not streamed was written under it. A reload with a longer deadline met the same, as the time-out was computed once, at the start.

Evidence: the endpoint's log has the request run and answered, the client's connection ends right after; bodies below 0.6 MB pass, and the limit moves with the constant. In a test that expires the deadline while the endpoint works, each form that net/http reads gets no answer and the plain form, which sets its deadline as it writes, is answered.

Change: WriteTimeout and MaxWait are gone. clientConn sets the write deadline as each write begins, for both paths, and takes none from net/http; the deadlines of a connection stand in one file, by phase.

--- a/internal/front/http1/admission.go
+++ b/internal/front/http1/admission.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"spokegw/internal/framing"
-	"spokegw/internal/front"
 )
 
 // Admission decides on requests before they are parsed. It may be called concurrently.
@@ -49,9 +48,6 @@
 	}
 	last := c.beginAnswer()
 	c.releaseHead()
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return true, err
-	}
 	if _, err := c.Write(refusal(after, last, overloadedText)); err != nil {
 		return true, err
 	}
@@ -59,7 +55,7 @@
 		return true, io.EOF
 	}
 	c.table.markIdle(c)
-	return true, c.SetReadDeadline(front.At(front.Now() + idleTimeout))
+	return true, c.awaitNextRequest()
 }
 
 // refusal is the answer, with a text as its body, to a refused request (RFC 9110 sections 15.6.4 and 10.2.3).
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -284,7 +284,6 @@
 		return
 	}
 	c.table.recordIncompleteHead(c.RemoteAddr().String())
-	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.Write(refusal(0, true, stoppingText)) // the connection is closed in any case
 	c.extraData.Store(true)                 // closing waits for the client to read the answer
 }
@@ -402,14 +401,6 @@
 	return c.TCPConn.Close()
 }
 
-func (c *clientConn) Write(b []byte) (int, error) {
-	n, err := c.TCPConn.Write(b)
-	if n > 0 {
-		c.lastActive.Store(int64(front.Now()))
-	}
-	return n, err
-}
-
 // claim records that a request has been read completely. It reports false if the
 // connection was evicted before that.
 func (c *clientConn) claim() bool {
--- /dev/null
+++ b/internal/front/http1/deadlines.go
@@ -0,0 +1,55 @@
+package http1
+
+import (
+	"net"
+	"time"
+
+	"spokegw/internal/front"
+)
+
+// The deadlines of a client's connection, by the phase of its request. Each phase sets its
+// own deadline and depends on none that an earlier phase has set; docs/design/deadlines.md
+// lists them all.
+
+// awaitRequest is the phase in which a request arrives: it has requestTimeout from its
+// first byte on or, for the first request, from when the connection was accepted. A body
+// that takes longer is paced by front.PacedBody.
+func (c *clientConn) awaitRequest() {
+	c.SetReadDeadline(front.At(time.Duration(c.started.Load()) + requestTimeout))
+}
+
+// awaitAnswer is the phase in which a complete request is answered. A read has no
+// deadline: it only shows that the client disconnects.
+func (c *clientConn) awaitAnswer() { c.SetReadDeadline(time.Time{}) }
+
+// awaitNextRequest is the phase between two requests.
+func (c *clientConn) awaitNextRequest() error {
+	return c.SetReadDeadline(front.At(front.Now() + idleTimeout))
+}
+
+// SetWriteDeadline does nothing: each write sets its own deadline as it begins.
+func (c *clientConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Write writes a piece of an answer. The client has writeTimeout to take it.
+func (c *clientConn) Write(b []byte) (int, error) {
+	c.beginWrite()
+	n, err := c.TCPConn.Write(b)
+	c.endWrite(int64(n))
+	return n, err
+}
+
+// writeParts is Write for a piece that consists of several parts.
+func (c *clientConn) writeParts(parts net.Buffers) error {
+	c.beginWrite()
+	n, err := parts.WriteTo(c.TCPConn)
+	c.endWrite(n)
+	return err
+}
+
+func (c *clientConn) beginWrite() { c.TCPConn.SetWriteDeadline(time.Now().Add(writeTimeout)) }
+
+func (c *clientConn) endWrite(n int64) {
+	if n > 0 {
+		c.lastActive.Store(int64(front.Now()))
+	}
+}
--- a/internal/front/http1/http1_test.go
+++ b/internal/front/http1/http1_test.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	config.Listen, config.MaxWait = "127.0.0.1:0", 8*time.Second
+	config.Listen = "127.0.0.1:0"
 	if config.Limit == 0 {
 		config.Limit, config.BusyThreshold = limit, busyThreshold
 	}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -74,7 +74,7 @@
 	if p.raw, err = c.SyscallConn(); err != nil {
 		return
 	}
-	c.SetReadDeadline(front.At(time.Duration(c.started.Load()) + requestTimeout))
+	c.awaitRequest()
 	for {
 		end, err := p.nextHead()
 		if err != nil {
@@ -130,7 +130,7 @@
 			return 0, err
 		}
 		if framing.End(p.head) == 0 {
-			p.SetReadDeadline(front.At(time.Duration(p.started.Load()) + requestTimeout))
+			p.awaitRequest()
 		}
 	}
 }
@@ -324,7 +324,7 @@
 	}
 	p.releaseHead()
 	if p.deadline.Load() != 0 {
-		p.SetReadDeadline(time.Time{})
+		p.awaitAnswer()
 	}
 	p.inFlight = true
 	p.setActive(x)
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -15,6 +15,7 @@
 
 	"spokegw/internal/core"
 	"spokegw/internal/framing"
+	"spokegw/internal/front"
 	"spokegw/internal/shutdown"
 )
 
@@ -22,8 +23,9 @@
 	// idleTimeout is how long a connection may be idle between requests. Otherwise
 	// clients that send one request and keep their connections would fill the table.
 	idleTimeout = 5 * time.Second
-	// writeTimeout limits writing an answer to a client that does not read.
-	writeTimeout = 5 * time.Second
+	// writeTimeout limits writing an answer, or a piece of a streamed one, to a client
+	// that does not read.
+	writeTimeout = front.WriteTimeout
 	stopPoll     = 10 * time.Millisecond
 	// cutTimeout is how long a stopping server waits for long answers that it has cut off.
 	cutTimeout = 30 * time.Millisecond
@@ -37,9 +39,8 @@
 	// Pipelining allows clients to send a request before the previous one has been
 	// answered. Data after a request is then the next request.
 	Pipelining    bool
-	BusyThreshold int           // how many of those may stay open before others are closed with their first answer
-	MaxWait       time.Duration // the longest time that a client waits for an answer
-	Admission     Admission     // nil: no request is refused
+	BusyThreshold int       // how many of those may stay open before others are closed with their first answer
+	Admission     Admission // nil: no request is refused
 }
 
 // Server serves requests over HTTP/1.1.
@@ -61,7 +62,6 @@
 		Handler:           s.handler,
 		ReadHeaderTimeout: requestTimeout,
 		IdleTimeout:       idleTimeout,
-		WriteTimeout:      requestTimeout + c.MaxWait + writeTimeout, // measured from the end of the head
 		MaxHeaderBytes:    framing.MaxHead,
 
 		DisableGeneralOptionsHandler: true, // it would answer an invalid request with 200
--- a/internal/front/http1/write.go
+++ b/internal/front/http1/write.go
@@ -39,16 +39,12 @@
 	if s := a.Stream(); s != nil {
 		return p.writeStream(*buf, body, chunked, s) == nil && !last
 	}
-	p.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var err error
 	if len(body) <= inlineBody {
 		*buf = append(*buf, body...)
 		_, err = p.Write(*buf)
 	} else {
-		parts := net.Buffers{*buf, body}
-		if _, err = parts.WriteTo(p.TCPConn); err == nil {
-			p.lastActive.Store(int64(front.Now()))
-		}
+		err = p.writeParts(net.Buffers{*buf, body})
 	}
 	return err == nil && !last
 }
@@ -136,17 +132,11 @@
 			parts = net.Buffers{size, piece, crlf}
 		}
 		head = head[:0]
-		p.SetWriteDeadline(time.Now().Add(writeTimeout))
-		n, err := parts.WriteTo(p.TCPConn)
-		if n > 0 {
-			p.lastActive.Store(int64(front.Now()))
-		}
-		return err
+		return p.writeParts(parts)
 	})
 	if err != nil || !chunked {
 		return err
 	}
-	p.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err = p.Write(lastChunk)
 	return err
 }
--- a/internal/sidecar/listeners.go
+++ b/internal/sidecar/listeners.go
@@ -17,10 +17,10 @@
 // listenHTTP1 opens the clients' address, unless the predecessor process has handed over its
 // listener. It has to be the last step of a start that can fail: another process may listen at
 // the address too, and from this point some clients connect to this process.
-func (s *Sidecar) listenHTTP1(maxWait time.Duration) (err error) {
+func (s *Sidecar) listenHTTP1() (err error) {
 	c := &s.config
 	limit, busy := s.clientLimits(s.upgrade.share())
-	front := http1.Config{Admission: s.shedder.admission(), Listen: c.Listen, Listener: s.upgrade.listener(), Limit: limit, BusyThreshold: busy, MaxWait: maxWait}
+	front := http1.Config{Admission: s.shedder.admission(), Listen: c.Listen, Listener: s.upgrade.listener(), Limit: limit, BusyThreshold: busy}
 	if c.Operator != nil {
 		front.Pipelining = c.Operator.HTTP1.Pipelining
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -101,10 +101,8 @@
 	}
 	s.core = core.New(table)
 	s.upgrade.adoptIDs(s.core)
-	maxWait := s.core.MaxDeadline()
 	if c.Operator != nil {
 		s.core.SetTableAndTerms(table, terms)
-		maxWait = operator.MaxDeadline // a reload may add a class with a longer deadline
 	}
 	if s.upgrade.predecessor == nil {
 		if s.http3, err = s.listenHTTP3(); err != nil {
@@ -125,7 +123,7 @@
 	if err := s.joinFleet(); err != nil {
 		return err
 	}
-	return s.listenHTTP1(maxWait)
+	return s.listenHTTP1()
 }
 
 // planServices returns the services of an operator's file, reusing running ones where possible.
