core, http1, front: a request is abandoned only if its client's own socket has ended

Cause: an attempt that times out interrupts the body. Upload.Interrupt set a read deadline in the past also when the body was complete; net/http takes any failed read for a client that has left and cancels the request's context, and core ended the request as abandoned.

On related paths the same: over 1 MiB behind a request before its answer (errTooMuchData) was taken for a disconnect by both readers of HTTP/1.1, and a long answer was aborted by the same contexts.

Change: Interrupt leaves a complete body alone, under one mutex with the end of the body and the read deadline. Core asks the client's connection before it abandons a request. The connection remembers a read that showed its end; a deadline or a lack of memory is none. Streamed answers follow the same evidence. Requests that end unanswered are counted by spokegw_disconnects_total{evidence} and logged at debug; failed reads of open connections are counted as unconfirmed and logged.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"spokegw/internal/figures"
 	"spokegw/internal/keyed"
 	"spokegw/internal/permit"
 	"spokegw/internal/upstream"
@@ -42,7 +43,7 @@
 	a.call, a.n, a.endpoint = c, len(c.attempts), action.Endpoint
 	if a.n > 0 && !c.done && c.exchange.connectionClosed() {
 		c.traceStep("not sent", "attempt %d: the client has closed its connection", a.n)
-		s.disconnected(c)
+		s.disconnected(c, figures.SeenBeforeAttempt)
 		c.attempts, s.denied = append(c.attempts, a), append(s.denied, a)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,8 +152,9 @@
 	trace     *Trace  // nil: the request is not traced
 
 	// Guarded by the service's mutex.
-	call         *call // nil: the decision module has not received the request
-	disconnected bool  // the client has disconnected
+	call         *call              // nil: the decision module has not received the request
+	disconnected bool               // the client has disconnected
+	evidence     figures.Disconnect // for that
 }
 
 // Open handles the head of a request before its body. It returns either an exchange, which must
@@ -279,6 +280,7 @@
 	if a.Status == 0 {
 		x.trace.endWith(nil)
 		x.slot.counters.End(figures.Abandoned)
+		x.recordDisconnect(x.evidence)
 		return Answer{}, ErrClientDisconnected
 	}
 	a.counters = x.slot.counters
@@ -286,10 +288,6 @@
 	return a, nil
 }
 
-// ClientDisconnected reports that the client has disconnected. It may be called at any time and
-// from any goroutine; it does not change an answer that was already given.
-func (x *Exchange) ClientDisconnected() { x.disconnect(x.service) }
-
 // upstream is the request as it is sent on: method and target unchanged, with the length of the
 // body that was read.
 func (x *Exchange) upstream(body []byte, timeout time.Duration) *upstream.Request {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -280,37 +280,12 @@
 		c.trace.step("taken", "%v left, pools %b, guaranteed by contract: %v, pinned: %v", q.TimeLeft.Round(time.Millisecond), c.mask, q.Guaranteed, q.Eligible != nil)
 	}
 	if c.exchange.call = c; c.exchange.disconnected {
-		s.disconnected(c)
+		s.disconnected(c, c.exchange.evidence)
 		return
 	}
 	s.carryOutAll(s.balancer.Request(now, q))
 }
 
-// disconnect ends a request whose client has disconnected, before or after the decision module
-// has received the request.
-func (x *Exchange) disconnect(s *Service) {
-	s.event(func(b *policy.Balancer, now time.Duration) []policy.Action {
-		if x.disconnected = true; x.call == nil || x.call.done {
-			return nil
-		}
-		s.disconnected(x.call)
-		return b.ClientDisconnected(now, x.call.id)
-	})
-}
-
-// disconnected completes a call without an answer.
-func (s *Service) disconnected(c *call) {
-	s.refundUnsent(c)
-	s.conclude(c, Answer{})
-}
-
-// connectionClosed reports whether the client has disconnected, even if the notification is
-// still pending: after a stall, the notification and the end of an attempt may be handled in
-// either order.
-func (x *Exchange) connectionClosed() bool {
-	return x.head.Client != nil && x.head.Client.Disconnected()
-}
-
 // conclude delivers the final answer, once.
 func (s *Service) conclude(c *call, a Answer) {
 	if c == nil || c.done {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -40,6 +41,7 @@
 	lastActive  atomic.Int64 // as front.Now, when bytes were last transferred in either direction
 	started     atomic.Int64 // as front.Now, when the latest request's first byte arrived, or the connection was accepted
 	receivedAny atomic.Bool  // something has been read from the connection
+	ended       atomic.Bool  // reading showed that the client has disconnected
 	idle        atomic.Bool  // an answer has been sent and nothing has arrived since
 	busy        bool         // a request has been taken and not been fully answered
 
@@ -97,9 +99,18 @@
 	if n > 0 {
 		c.markReceived()
 	}
+	c.markEnded(n, err)
 	return n, err
 }
 
+// markEnded records a read that showed the end of the connection: no data and no error,
+// or an error of the connection.
+func (c *clientConn) markEnded(n int, err error) {
+	if n == 0 && (err == nil || peek.Ended(err)) {
+		c.ended.Store(true)
+	}
+}
+
 // awaitsRequest reports whether no part of a request has arrived since the connection
 // was accepted or its latest answer was sent.
 func (c *clientConn) awaitsRequest() bool { return c.idle.Load() || !c.receivedAny.Load() }
@@ -341,6 +352,7 @@
 	defer headBuffers.Put(buf)
 	for dropped := 0; dropped < maxLingerBytes; {
 		n, err := c.TCPConn.Read(buf[:])
+		c.markEnded(n, err)
 		if err != nil {
 			return err
 		}
@@ -350,12 +362,31 @@
 }
 
 // Disconnected reports whether the client has closed the connection, or the connection
-// is broken, with nothing left to read.
+// is broken, with nothing left to read. A read that failed for another reason is no sign
+// of that.
 func (c *clientConn) Disconnected() bool {
+	if c.ended.Load() {
+		return true
+	}
 	_, closed := peek.Peek(c.TCPConn)
 	return closed
 }
 
+// whileConnected is ctx, which net/http cancels after any failed read, without the
+// cancellations for which the client has not disconnected.
+func (c *clientConn) whileConnected(ctx context.Context) (context.Context, context.CancelFunc) {
+	connected, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if c.Disconnected() {
+			cancel()
+		}
+	})
+	return connected, func() {
+		stop()
+		cancel()
+	}
+}
+
 // hasExtra reports whether anything follows the request being served. A client without
 // pipelining sends one request at a time, so such data either belongs to that request,
 // whose end is then not where it states, or is a smuggled request. With pipelining it
--- a/internal/front/http1/deadlines_test.go
+++ b/internal/front/http1/deadlines_test.go
@@ -44,9 +44,7 @@
 
 // expireWriteDeadlines does what net/http does when a deadline of an earlier phase is over.
 func expireWriteDeadlines(s *Server) {
-	s.conns.mu.Lock()
-	defer s.conns.mu.Unlock()
-	for c := range s.conns.conns {
+	for _, c := range connections(s) {
 		c.SetWriteDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"spokegw/internal/core"
+	"spokegw/internal/figures"
 	"spokegw/internal/front"
 	"spokegw/internal/target"
 )
@@ -65,15 +66,18 @@
 		return
 	}
 	if r.ContentLength != 0 {
-		rc.SetReadDeadline(time.Time{}) // otherwise it would end the watch for a client that disconnects
+		conn.awaitAnswer()
 	}
 	switch {
 	case conn.hasExtra():
 		x.Drop(nil)
 		h.write(w, r, conn, earlyDataAnswer())
 		return
-	case conn.Disconnected(), !conn.claim():
-		x.Drop(nil)
+	case conn.Disconnected():
+		x.DropUnanswered(figures.ConnectionEnded)
+		panic(http.ErrAbortHandler)
+	case !conn.claim():
+		x.DropUnanswered(figures.Evicted)
 		panic(http.ErrAbortHandler)
 	}
 	a, err := x.Do(r.Context(), buffered)
@@ -88,10 +92,10 @@
 // next request would begin.
 func (h *handler) upload(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, conn *clientConn, x *core.Exchange, buffered []byte, body io.Reader) {
 	if !conn.claim() {
-		x.Drop(nil)
+		x.DropUnanswered(figures.Evicted)
 		panic(http.ErrAbortHandler)
 	}
-	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), rc, conn.hasExtra)
+	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), conn, conn.hasExtra)
 	ctx, cancel := u.Context(r.Context())
 	defer cancel()
 	a, err := x.DoStream(ctx, buffered, u)
@@ -102,8 +106,6 @@
 		a.Replace(front.IncompleteBody(fault))
 	case fault != nil:
 		a.Malformed = true
-	default:
-		rc.SetReadDeadline(time.Time{})
 	}
 	if a.Malformed {
 		rc.EnableFullDuplex() // otherwise the server reads the remaining body before it sends the answer
@@ -130,7 +132,7 @@
 	if n, err := io.Copy(io.Discard, body); err != nil || n != r.ContentLength {
 		panic(http.ErrAbortHandler) // the server would parse the remaining body as a request
 	}
-	rc.SetReadDeadline(time.Time{})
+	conn.awaitAnswer()
 }
 
 // write writes an answer. It closes the connection after a malformed request: otherwise
@@ -151,5 +153,7 @@
 			panic(p)
 		}
 	}()
-	front.Write(r.Context(), w, a)
+	connected, cancel := conn.whileConnected(r.Context())
+	defer cancel()
+	front.Write(connected, w, a)
 }
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"spokegw/internal/core"
+	"spokegw/internal/figures"
 	"spokegw/internal/framing"
 	"spokegw/internal/front"
 	"spokegw/internal/peek"
@@ -119,7 +120,7 @@
 				err = p.awaitClose()
 			}
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-				p.clientDisconnected()
+				p.readingEnded()
 			}
 			p.inFlight = false
 			if kept := <-p.done; !kept {
@@ -148,10 +149,12 @@
 	}
 	p.inFlight = false
 	p.setActive(nil)
-	p.dropUnstarted(nil)
-	if err == nil {
-		p.write(earlyDataAnswer(), true)
+	if err != nil {
+		p.dropUnanswered(figures.ConnectionEnded)
+		return false
 	}
+	p.dropUnstarted(nil)
+	p.write(earlyDataAnswer(), true)
 	return false
 }
 
@@ -168,18 +171,27 @@
 	x.Drop(a)
 }
 
+// dropUnanswered ends a request that was taken and not started, without an answer.
+func (p *plain) dropUnanswered(evidence figures.Disconnect) {
+	x := p.unstarted
+	p.unstarted = nil
+	x.DropUnanswered(evidence)
+}
+
 // earlyDataAnswer is the answer to a request that was followed by data before it was
 // answered.
 func earlyDataAnswer() *core.Answer {
 	return &core.Answer{Status: http.StatusBadRequest, Reason: "something follows before the request was answered", Malformed: true}
 }
 
-// clientDisconnected notifies whoever serves the request that its client has
-// disconnected.
-func (p *plain) clientDisconnected() {
+// readingEnded notifies whoever serves the request that reading from its client has
+// failed. A long answer is aborted only if the client has disconnected: reading also ends
+// after too much early data.
+func (p *plain) readingEnded() {
+	disconnected := p.Disconnected()
 	p.mu.Lock()
 	x := p.active
-	if p.disconnected = true; p.longAnswer != nil {
+	if p.disconnected = disconnected; disconnected && p.longAnswer != nil {
 		p.longAnswer.Abort()
 	}
 	p.mu.Unlock()
@@ -319,7 +331,7 @@
 		return p.write(earlyDataAnswer(), true)
 	}
 	if !p.clientConn.claim() {
-		p.dropUnstarted(nil)
+		p.dropUnanswered(figures.Evicted)
 		return false
 	}
 	p.releaseHead()
--- a/internal/front/http3/handler.go
+++ b/internal/front/http3/handler.go
@@ -57,7 +57,7 @@
 		h.incompleteBody(w, r, c, x, err)
 		return
 	case more:
-		h.upload(w, r, rc, c, x, buffered, body)
+		h.upload(w, r, deadlines, c, x, buffered, body)
 		return
 	}
 	a, err := x.Do(r.Context(), buffered)
@@ -68,8 +68,8 @@
 }
 
 // upload has the core answer a request whose body is streamed.
-func (h *handler) upload(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, c *conn, x *core.Exchange, buffered []byte, body io.Reader) {
-	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), rc, func() bool { return false })
+func (h *handler) upload(w http.ResponseWriter, r *http.Request, deadlines *readDeadlines, c *conn, x *core.Exchange, buffered []byte, body io.Reader) {
+	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), deadlines, func() bool { return false })
 	ctx, cancel := u.Context(r.Context())
 	defer cancel()
 	a, err := x.DoStream(ctx, buffered, u)
--- a/internal/front/upload.go
+++ b/internal/front/upload.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -68,19 +66,21 @@
 	body      io.Reader
 	remaining int64 // -1: unknown
 	hasExtra  func() bool
-	rc        *http.ResponseController
+	rc        DeadlineSetter
 	readMu    sync.Mutex // held while the body is read
-	ended     atomic.Bool
-	complete  atomic.Bool
 	received  int64
 	err       error // of reading; io.EOF: the body is complete
+
+	mu       sync.Mutex // guards ended, complete and the read deadline that they set
+	ended    bool       // nothing is read any more
+	complete bool
 }
 
 var errUploadClosed = errors.New("the rest of the body is not needed")
 
 // NewUpload makes the remaining part of a body of the declared length, -1 if unknown,
 // of which some has been read. hasExtra reports whether data follows the body.
-func NewUpload(body io.Reader, length, read int64, rc *http.ResponseController, hasExtra func() bool) *Upload {
+func NewUpload(body io.Reader, length, read int64, rc DeadlineSetter, hasExtra func() bool) *Upload {
 	u := &Upload{body: body, remaining: -1, hasExtra: hasExtra, rc: rc, received: read}
 	if length >= 0 {
 		u.remaining = length - read
@@ -92,7 +92,7 @@
 func (u *Upload) Read(b []byte) (n int, err error) {
 	u.readMu.Lock()
 	defer u.readMu.Unlock()
-	if u.ended.Load() {
+	if u.isEnded() {
 		return 0, errUploadClosed
 	}
 	if u.err != nil {
@@ -113,8 +113,8 @@
 	case err == io.EOF && u.hasExtra():
 		err = errExcessData
 	case err == io.EOF:
-		u.complete.Store(true)
-	case err != nil && u.ended.Load():
+		u.setComplete()
+	case err != nil && u.isEnded():
 		err = errUploadClosed
 	case u.received > MaxBody:
 		err = errTooLong
@@ -125,11 +125,36 @@
 	return n, err
 }
 
-// Interrupt ends a blocked Read, unless the body is complete.
+func (u *Upload) isEnded() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ended
+}
+
+// setComplete records that the body is complete. From then on reads only show whether the
+// client disconnects, and have no deadline.
+func (u *Upload) setComplete() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.complete = true
+	u.rc.SetReadDeadline(time.Time{})
+}
+
+func (u *Upload) isComplete() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.complete
+}
+
+// Interrupt ends a blocked Read. It has no effect if the body is complete.
 func (u *Upload) Interrupt() {
-	if !u.ended.Swap(true) {
-		u.rc.SetReadDeadline(At(-time.Hour))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.complete || u.ended {
+		return
 	}
+	u.ended = true
+	u.rc.SetReadDeadline(At(-time.Hour))
 }
 
 // Context is ctx without cancellations caused by reading the body: net/http takes any
@@ -138,7 +163,7 @@
 func (u *Upload) Context(ctx context.Context) (context.Context, context.CancelFunc) {
 	detached, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() {
-		if u.complete.Load() {
+		if u.isComplete() {
 			cancel()
 		}
 	})
@@ -156,7 +181,9 @@
 		u.readMu.Lock()
 	}
 	defer u.readMu.Unlock()
-	u.ended.Store(true)
+	u.mu.Lock()
+	u.ended = true
+	u.mu.Unlock()
 	switch {
 	case u.err == io.EOF:
 		return nil
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -39,6 +39,7 @@
 	notSent      = prometheus.NewDesc("spokegw_attempts_not_sent_total", "Attempts that were decided and not sent, by what had changed.", []string{"reason"}, nil)
 	violations   = prometheus.NewDesc("spokegw_rule_violations_total", "Rules that were broken, as far as this process sees.", []string{"rule"}, nil)
 	stopRequests = prometheus.NewDesc("spokegw_stop_requests_total", "Requests whose outcome the stop of the process has changed, by cause.", []string{"cause"}, nil)
+	disconnects  = prometheus.NewDesc("spokegw_disconnects_total", "Requests that ended without an answer, by the evidence that their client had disconnected; unconfirmed ones went on.", []string{"evidence"}, nil)
 	listAge      = prometheus.NewDesc("spokegw_list_age_seconds", "How long ago the list of a service's endpoints was last known to be current.", []string{"service"}, nil)
 	calls        = prometheus.NewDesc("spokegw_discovery_calls_total", "Calls to a service's registry, by outcome; a late one counts again as it ends.", []string{"service", "outcome"}, nil)
 	reloads      = prometheus.NewDesc("spokegw_config_reloads_total", "Files taken at SIGHUP.", nil, nil)
@@ -94,7 +95,7 @@
 }
 
 func (c *collector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, notSent, violations, stopRequests, listAge, calls, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
+	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, members, unavailable, notSent, violations, stopRequests, disconnects, listAge, calls, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
 		descs <- d
 	}
 }
@@ -128,6 +129,9 @@
 	for cause := range shutdown.NumCauses {
 		count(stopRequests, c.figures.Stop[cause].Load(), cause.String())
 	}
+	for evidence := range figures.NumDisconnects {
+		count(disconnects, c.figures.Disconnects[evidence].Load(), evidence.String())
+	}
 	for _, l := range m.Lists {
 		gauge(listAge, l.Age.Seconds(), l.Service)
 		count(calls, l.Answered, l.Service, "answered")
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -2,6 +2,8 @@
 package peek
 
 import (
+	"errors"
+	"io"
 	"net"
 	"syscall"
 )
@@ -18,6 +20,16 @@
 	return true
 }
 
+// Ended reports whether an error of a read shows that the connection has ended: not a deadline, nor
+// a transient lack of memory.
+func Ended(err error) bool {
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
+		return errno != syscall.EINTR && connEnded(-1, errno)
+	}
+	return errors.Is(err, io.EOF)
+}
+
 // Peek reports whether data waits to be read from c (n is then 1), and whether the peer
 // has closed it or it is broken. It may be called while another goroutine is blocked in
 // Read.
