upstream, front: a streamed body's time runs while its endpoint takes no more of it

While an endpoint takes nothing, the client's last byte lies in socket buffers on both sides and nobody reads it; only streamTimeout, 10 s for one write, ended such an attempt. A late dial under a streamed body is the same: 10 minutes of uploadTimeout were its deadline.

Change: SenderClock tells the earliest time at which a client may have written its last byte: the end of the latest read from its socket that had to wait for data. The attempt's uploadTimer covers it from the dial to the answer: the client's time and 0.3 s from then on, of the 0.5 s in which an answer only earns nothing. A client that pauses moves it. What surely never ran is refused (503), what may have run fails (504), and no further attempt begins behind that time.

Weighed: reading ahead needs up to 32 MB for each and moves the limit; a bound on one write's stall does not see an endpoint that reads 40 kB a second; another attempt needs the whole body held.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -47,14 +47,14 @@
 		c.attempts, s.denied = append(c.attempts, a), append(s.denied, a)
 		return
 	}
-	allowed := !c.req.Stream.Consumed() && s.mayRetry(c)
+	allowed := !c.req.Stream.Consumed() && !c.req.Stream.Overdue() && s.mayRetry(c)
 	if a.mayHaveRun = c.mayHaveRun > 0; a.mayHaveRun && s.settings.slots[c.class].rules.Effect == policy.Unsafe {
 		s.reportViolation(permit.DuplicateEffect, a, "decided") // and is not sent
 		allowed = false
 	}
 	c.attempts = append(c.attempts, a)
 	if !allowed {
-		c.traceStep("not sent", "attempt %d: the contract allows no retry, or the body can't be sent again", a.n)
+		c.traceStep("not sent", "attempt %d: the contract allows no retry, or the body can't be sent again or has no time left", a.n)
 		s.denied = append(s.denied, a)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,10 +230,7 @@
 const uploadTimeout = 10 * time.Minute
 
 // Source is the remaining part of a body that is streamed to the endpoint.
-type Source interface {
-	io.Reader   // io.EOF: the body is complete
-	Interrupt() // ends a blocked Read; the body is not read any further
-}
+type Source = upstream.BodySource
 
 // DoStream is Do for a request whose remaining body is streamed; prefix is the part that was
 // read already.
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -42,8 +42,10 @@
 	started     atomic.Int64 // as front.Now, when the latest request's first byte arrived, or the connection was accepted
 	receivedAny atomic.Bool  // something has been read from the connection
 	ended       atomic.Bool  // reading showed that the client has disconnected
-	idle        atomic.Bool  // an answer has been sent and nothing has arrived since
-	busy        bool         // a request has been taken and not been fully answered
+
+	uploadClock atomic.Pointer[front.SenderClock] // of the body that is streamed; nil: none is
+	idle        atomic.Bool                       // an answer has been sent and nothing has arrived since
+	busy        bool                              // a request has been taken and not been fully answered
 
 	mu            sync.Mutex // guards closing and what it depends on (receivedAny, idle, receivedSince); requestRead; and updates of serving together with extraData
 	closing       bool       // a blocked read is cancelled, because the connection is to be closed
@@ -84,7 +86,12 @@
 
 // receive reads from the socket.
 func (c *clientConn) receive(b []byte) (int, error) {
-	return c.readRetrying(func() (int, error) { return c.TCPConn.Read(b) })
+	return c.readRetrying(func() (int, error) {
+		if clock := c.uploadClock.Load(); clock != nil && !c.readable() {
+			return clock.Read(c.TCPConn, b)
+		}
+		return c.TCPConn.Read(b)
+	})
 }
 
 // readRetrying reads. If the read deadline has expired, it reads once more what is
@@ -387,11 +394,11 @@
 	}
 }
 
-// hasExtra reports whether anything follows the request being served. A client without
+// HasExtra reports whether anything follows the request being served. A client without
 // pipelining sends one request at a time, so such data either belongs to that request,
 // whose end is then not where it states, or is a smuggled request. With pipelining it
 // can't be told from the next request.
-func (c *clientConn) hasExtra() bool {
+func (c *clientConn) HasExtra() bool {
 	return c.extraData.Load() || !c.table.pipelining && c.readable()
 }
 
--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -69,7 +69,7 @@
 		conn.awaitAnswer()
 	}
 	switch {
-	case conn.hasExtra():
+	case conn.HasExtra():
 		x.Drop(nil)
 		h.write(w, r, conn, earlyDataAnswer())
 		return
@@ -95,7 +95,10 @@
 		x.DropUnanswered(figures.Evicted)
 		panic(http.ErrAbortHandler)
 	}
-	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), conn, conn.hasExtra)
+	clock := front.NewSenderClock()
+	conn.uploadClock.Store(clock)
+	defer conn.uploadClock.Store(nil)
+	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), conn, clock)
 	ctx, cancel := u.Context(r.Context())
 	defer cancel()
 	a, err := x.DoStream(ctx, buffered, u)
--- a/internal/front/http3/deadlines.go
+++ b/internal/front/http3/deadlines.go
@@ -26,6 +26,9 @@
 	return d.controller.SetReadDeadline(t)
 }
 
+// HasExtra is false: a stream ends with its request.
+func (d *readDeadlines) HasExtra() bool { return false }
+
 // expire ends reading now: the process no longer waits for the rest of the request.
 func (d *readDeadlines) expire() {
 	d.mu.Lock()
--- a/internal/front/http3/handler.go
+++ b/internal/front/http3/handler.go
@@ -50,14 +50,15 @@
 		front.Write(r.Context(), w, refused)
 		return
 	}
-	body := front.NewPacedBody(r.Body, deadlines, start)
+	clock := front.NewSenderClock()
+	body := front.NewPacedBody(clockedBody{r.Body, clock}, deadlines, start)
 	buffered, more, err := front.ReadBody(body, length, x.ReserveBody)
 	switch {
 	case err != nil:
 		h.incompleteBody(w, r, c, x, err)
 		return
 	case more:
-		h.upload(w, r, deadlines, c, x, buffered, body)
+		h.upload(w, r, deadlines, c, x, buffered, body, clock)
 		return
 	}
 	a, err := x.Do(r.Context(), buffered)
@@ -67,9 +68,18 @@
 	front.Write(r.Context(), w, &a)
 }
 
+// clockedBody is a body whose reads are timed. Whether data waits shows only in how long a
+// read takes.
+type clockedBody struct {
+	io.Reader
+	clock *front.SenderClock
+}
+
+func (b clockedBody) Read(to []byte) (int, error) { return b.clock.Read(b.Reader, to) }
+
 // upload has the core answer a request whose body is streamed.
-func (h *handler) upload(w http.ResponseWriter, r *http.Request, deadlines *readDeadlines, c *conn, x *core.Exchange, buffered []byte, body io.Reader) {
-	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), deadlines, func() bool { return false })
+func (h *handler) upload(w http.ResponseWriter, r *http.Request, deadlines *readDeadlines, c *conn, x *core.Exchange, buffered []byte, body io.Reader, clock *front.SenderClock) {
+	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), deadlines, clock)
 	ctx, cancel := u.Context(r.Context())
 	defer cancel()
 	a, err := x.DoStream(ctx, buffered, u)
--- a/internal/front/upload.go
+++ b/internal/front/upload.go
@@ -63,25 +63,32 @@
 
 // Upload is the remaining part of a body that is streamed.
 type Upload struct {
-	body      io.Reader
-	remaining int64 // -1: unknown
-	hasExtra  func() bool
-	rc        DeadlineSetter
-	readMu    sync.Mutex // held while the body is read
-	received  int64
-	err       error // of reading; io.EOF: the body is complete
+	body       io.Reader
+	remaining  int64 // -1: unknown
+	connection UploadConnection
+	clock      *SenderClock
+	readMu     sync.Mutex // held while the body is read
+	received   int64
+	err        error // of reading; io.EOF: the body is complete
 
 	mu       sync.Mutex // guards ended, complete and the read deadline that they set
 	ended    bool       // nothing is read any more
 	complete bool
 }
 
+// UploadConnection is the connection or stream that a body arrives on.
+type UploadConnection interface {
+	DeadlineSetter
+	// HasExtra reports whether data follows the body.
+	HasExtra() bool
+}
+
 var errUploadClosed = errors.New("the rest of the body is not needed")
 
 // NewUpload makes the remaining part of a body of the declared length, -1 if unknown,
-// of which some has been read. hasExtra reports whether data follows the body.
-func NewUpload(body io.Reader, length, read int64, rc DeadlineSetter, hasExtra func() bool) *Upload {
-	u := &Upload{body: body, remaining: -1, hasExtra: hasExtra, rc: rc, received: read}
+// of which some has been read. clock is that of its reads.
+func NewUpload(body io.Reader, length, read int64, connection UploadConnection, clock *SenderClock) *Upload {
+	u := &Upload{body: body, remaining: -1, connection: connection, received: read, clock: clock}
 	if length >= 0 {
 		u.remaining = length - read
 	}
@@ -110,7 +117,7 @@
 	switch {
 	case err == io.EOF && u.remaining > 0:
 		err = io.ErrUnexpectedEOF
-	case err == io.EOF && u.hasExtra():
+	case err == io.EOF && u.connection.HasExtra():
 		err = errExcessData
 	case err == io.EOF:
 		u.setComplete()
@@ -137,7 +144,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.complete = true
-	u.rc.SetReadDeadline(time.Time{})
+	u.clock.finish()
+	u.connection.SetReadDeadline(time.Time{})
 }
 
 func (u *Upload) isComplete() bool {
@@ -154,9 +162,13 @@
 		return
 	}
 	u.ended = true
-	u.rc.SetReadDeadline(At(-time.Hour))
+	u.connection.SetReadDeadline(At(-time.Hour))
 }
 
+// EarliestEnd is the earliest time at which the sender may have written the last byte of
+// the body. It is now while the sender is known to be sending.
+func (u *Upload) EarliestEnd() time.Time { return At(u.clock.earliestEnd(Now())) }
+
 // Context is ctx without cancellations caused by reading the body: net/http takes any
 // read error, also that of an interrupted read, for a client that has disconnected. A
 // client that disconnects before its body is complete shows in the reading itself.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,16 +27,35 @@
 // BodyStream is the part of a request body that is forwarded as it arrives. Only one
 // attempt reads it.
 type BodyStream struct {
-	Source interface {
-		io.Reader   // io.EOF states that the body is complete
-		Interrupt() // ends a blocked Read; nothing is read afterwards
-	}
+	Source        BodySource
 	Chunked       bool          // its length is unknown
 	AnswerTimeout time.Duration // for the answer, from the last byte of the body
 
 	claimed atomic.Bool
 }
 
+// BodySource is the remaining part of a request body that is streamed.
+type BodySource interface {
+	io.Reader   // io.EOF states that the body is complete
+	Interrupt() // ends a blocked Read; nothing is read afterwards
+	// EarliestEnd is the earliest time at which the client may have written the last byte,
+	// from which its deadline counts. It is now while the client is known to be sending.
+	EarliestEnd() time.Time
+}
+
+// uploadAllowance is how much longer than AnswerTimeout a request with a streamed body may
+// take from EarliestEnd on: the last byte may have been written later. Clients count an
+// answer as lost 0.5 s after their deadline.
+const uploadAllowance = 300 * time.Millisecond
+
+// Deadline is by when the request has to be answered, as far as is known now.
+func (s *BodyStream) Deadline() time.Time {
+	return s.Source.EarliestEnd().Add(s.AnswerTimeout + uploadAllowance)
+}
+
+// Overdue reports whether that time has passed; it has not for a nil stream.
+func (s *BodyStream) Overdue() bool { return s != nil && !time.Now().Before(s.Deadline()) }
+
 // Consumed reports whether some of the body may have been read, so that it can't be
 // sent again.
 func (s *BodyStream) Consumed() bool { return s != nil && s.claimed.Load() }
@@ -218,6 +237,9 @@
 // called once; otherwise it is nil. If stream is nil, long answers are failures.
 func (p *Pool) Begin(cancellation *Cancellation, e Endpoint, req *Request, constraints Constraints, stream StreamAcceptor) (a Answer, wait func() Answer) {
 	t := &transaction{start: time.Now(), stream: stream, req: req, cancellation: cancellation, constraints: constraints, deadline: constraints.Deadline}
+	if req.Stream != nil {
+		t.upload = startUploadTimer(req.Stream, cancellation)
+	}
 	handedOver := false
 	defer func() { // also on a panic
 		if !handedOver {
@@ -236,7 +258,10 @@
 }
 
 // release cancels everything that the attempt has started.
-func (t *transaction) release() { t.cancellation.Cancel(context.Canceled) }
+func (t *transaction) release() {
+	t.upload.stop()
+	t.cancellation.Cancel(context.Canceled)
+}
 
 // annotate sets the fields that every answer has.
 func (t *transaction) annotate(a Answer) Answer {
@@ -262,6 +287,7 @@
 	write        requestWrite  // of a short request
 	dialled      bool
 	uploaded     atomic.Int64 // ns from start to the last byte of a BodyStream; 0: not written
+	upload       *uploadTimer // nil: the body is not streamed
 }
 
 // elapsed is how long the endpoint has had the request.
@@ -399,6 +425,7 @@
 func offerStream(t *transaction, a *Answer) error {
 	// The client decides how long it waits for the remaining answer. If the time is up or
 	// the attempt is cancelled, the client would get a head and nothing more.
+	t.upload.stop()
 	if !t.timer.setDeadline(time.Time{}) || t.cancellation.Cause() != nil {
 		t.cancellation.Cancel(errTimedOut) // the first cause counts
 		a.Free()
--- a/internal/upstream/dedup_window_test.go
+++ b/internal/upstream/dedup_window_test.go
@@ -35,7 +35,8 @@
 	return 0, io.EOF
 }
 
-func (b *slowBody) Interrupt() {}
+func (b *slowBody) Interrupt()             {}
+func (b *slowBody) EarliestEnd() time.Time { return time.Now() }
 
 // A retry begins within its deduplication window, and its streamed body ends after it. An
 // endpoint begins a request on its last byte, so that byte must not be written then.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -171,6 +171,7 @@
 
 func (endless) Read(b []byte) (int, error) { return len(b), nil }
 func (endless) Interrupt()                 {}
+func (endless) EarliestEnd() time.Time     { return time.Now() }
 
 // An answer without a length is complete if it declares that it ends with its
 // connection, and does.
