http3: the test of a stop waits until its upload is taken

TestStopAnswersBeforeTheKill failed in half of its runs: the upload had its connection closed with H3_NO_ERROR. The trace: that close came 2.3 to 2.6 ms after the stop in 4 of 4 failures, before any time-out, as the test only waited for its other client's request to reach the endpoint. The upload's connection was just being made, and a server that stops takes no new one; nothing of the upload had been read.

Now the upload has written 256 KiB before the stop, more than the stream window (72 KiB) holds unread, so that the server is reading it.

--- a/internal/front/http3/drain_test.go
+++ b/internal/front/http3/drain_test.go
@@ -15,6 +15,9 @@
 // killDelay is when a process with deadlines of 3 s and more is killed at the earliest.
 const killDelay = 3700 * time.Millisecond
 
+// takenBytes is more, in bytes, than a client can send of a body that the server does not read.
+const takenBytes = 256 << 10
+
 // A request in flight, and one whose body keeps coming, are answered before the process is killed.
 func TestStopAnswersBeforeTheKill(t *testing.T) {
 	hang := func(_ http.ResponseWriter, r *http.Request) bool {
@@ -42,6 +45,9 @@
 	defer rest.Close()
 	send("in flight", strings.NewReader("r"))
 	send("incomplete", incomplete)
+	if _, err := rest.Write(make([]byte, takenBytes)); err != nil {
+		t.Fatal(err)
+	}
 	go func() { // it ends as the client closes the body, or with the test
 		for _, err := rest.Write(make([]byte, 4<<10)); err == nil; _, err = rest.Write(make([]byte, 4<<10)) {
 			<-time.After(50 * time.Millisecond)
@@ -53,7 +59,7 @@
 	for range 2 {
 		r := <-results
 		if want := map[string]int{"in flight": 504, "incomplete": 503}[r.name]; r.err != nil || r.status != want {
-			t.Errorf("%s: status %d, error %v; want %d", r.name, r.status, r.err, want)
+			t.Errorf("%s: status %d, error %v after %v; want %d", r.name, r.status, r.err, time.Since(signalled), want)
 		}
 	}
 	if err := s.Wait(); err != nil {
