http1: the time that a request waited unread counts on net/http's path too

Cause: SetReceived, which counts the age of the latest data on the socket, was called by the plain path alone. The clock of a streamed body began when it was opened, not when its data had come.

Change: the fallback calls it for each request that it has read whole, and the sender's clock begins at the latest data.

--- a/internal/front/http1/handler.go
+++ b/internal/front/http1/handler.go
@@ -12,6 +12,7 @@
 	"spokegw/internal/core"
 	"spokegw/internal/figures"
 	"spokegw/internal/front"
+	"spokegw/internal/peek"
 	"spokegw/internal/target"
 )
 
@@ -65,6 +66,7 @@
 		h.upload(w, r, rc, conn, x, buffered, body)
 		return
 	}
+	x.SetReceived(peek.SinceDataOn(conn.TCPConn))
 	if r.ContentLength != 0 {
 		conn.awaitAnswer()
 	}
@@ -95,7 +97,7 @@
 		x.DropUnanswered(figures.Evicted)
 		panic(http.ErrAbortHandler)
 	}
-	clock := front.NewSenderClock()
+	clock := front.NewSenderClock(peek.SinceDataOn(conn.TCPConn))
 	conn.uploadClock.Store(clock)
 	defer conn.uploadClock.Store(nil)
 	u := front.NewUpload(body, r.ContentLength, int64(len(buffered)), conn, clock)
--- a/internal/front/http3/handler.go
+++ b/internal/front/http3/handler.go
@@ -50,7 +50,7 @@
 		front.Write(r.Context(), w, refused)
 		return
 	}
-	clock := front.NewSenderClock()
+	clock := front.NewSenderClock(0)
 	body := front.NewPacedBody(clockedBody{r.Body, clock}, deadlines, start)
 	buffered, more, err := front.ReadBody(body, length, x.ReserveBody)
 	switch {
--- a/internal/front/sender_clock.go
+++ b/internal/front/sender_clock.go
@@ -23,8 +23,9 @@
 	complete bool          // the body has been read: what follows is not part of it
 }
 
-// NewSenderClock is the clock of a sender that may have written its last byte by now.
-func NewSenderClock() *SenderClock { return &SenderClock{earliest: Now()} }
+// NewSenderClock is the clock of a sender whose latest data has waited unread for a time,
+// and that may have written its last byte then.
+func NewSenderClock(unread time.Duration) *SenderClock { return &SenderClock{earliest: Now() - unread} }
 
 // Read makes a read from the sender's connection or stream that is not known to have data
 // waiting. It must not be a read that may return or wait for further data after some.
--- a/internal/peek/sincedata.go
+++ b/internal/peek/sincedata.go
@@ -1,6 +1,7 @@
 package peek
 
 import (
+	"net"
 	"syscall"
 	"time"
 	"unsafe"
@@ -25,3 +26,13 @@
 	}
 	return time.Duration(info[lastDataOffset/4]) * time.Millisecond
 }
+
+// SinceDataOn is SinceData for a connection.
+func SinceDataOn(c *net.TCPConn) (since time.Duration) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { since = SinceData(fd) })
+	return since
+}
