front: an answer in one piece has a write deadline over HTTP/3 too

An answer that is not streamed was written without a deadline on HTTP/3: a client that opens no window and keeps its connection alive held its stream and the answer's buffers. On HTTP/1.1 the connection sets the deadline itself.

TestAnswerInOnePieceHasWriteDeadline failed before.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -22,6 +22,7 @@
 // incomplete. ctx ends when the client has disconnected.
 func Write(ctx context.Context, w http.ResponseWriter, a *core.Answer) {
 	defer a.Free()
+	beginWrite(w)
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -55,6 +56,11 @@
 	w.Write(a.Body)
 }
 
+// beginWrite gives the client WriteTimeout to take the next piece of an answer.
+func beginWrite(w http.ResponseWriter) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(WriteTimeout))
+}
+
 // copyBuffers are the buffers that streamed answers are copied through.
 var copyBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
 
@@ -64,7 +70,7 @@
 	defer stop()
 	rc := http.NewResponseController(w)
 	return CopyStream(head, s, func(b []byte) error {
-		rc.SetWriteDeadline(time.Now().Add(WriteTimeout))
+		beginWrite(w)
 		if _, err := w.Write(b); err != nil {
 			return err
 		}
