--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -51,6 +51,11 @@
 	stopFrontTests   = "Test(Incomplete.*AtStop|LongAnswerCutByStop.*|RequestBehind.*)"
 	stopProcessTests = "Test(RequestTakenLateInUpgrade.*|FirstRequestLateInStop.*|StopDuringStart.*)"
 
+	// Tests of what a front does with deadlines, ends of connections and long bodies.
+	disconnectTests = "TestRequestEndsOnlyByEvidenceFromItsClient"
+	interruptTests  = "TestInterruptLeavesCompleteBodyAlone"
+	uploadTests     = "Test(WriteDeadlineFromHead.*|UploadToStalledEndpoint.*|TooMuchEarlyData.*)"
+
 	attributionTests = "TestStallNotAttributedToEndpoint"
 	shortageTests    = "Test(BurstAfterCommonStall|BurstAtManySidecars|InFlightAcrossStallDuringShortage|UncontractedOverload)"
 
@@ -87,7 +92,7 @@
 // namedByTest lists the groups whose properties are names of failing tests.
 var namedByTest = []string{
 	weightTests, siteTests, permitTests, gateTests, drainTests, clockTests, renewalTests, watchTests, slowStartTests,
-	scheduleTests, stopTests, stopFrontTests, stopProcessTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests,
+	scheduleTests, stopTests, stopFrontTests, stopProcessTests, disconnectTests, interruptTests, uploadTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests,
 }
 
 var mutants = []mutant{
@@ -99,6 +104,11 @@
 	{"internal/budget/budget.go", "max(p.used+n, p.reserve) - max(p.used, p.reserve)", "n", budgetTests, useMiscounted},
 	{"internal/budget/budget.go", "p.used+n > p.reserve && b.committed+added > b.total", "b.committed+n > b.total", budgetTests, refusedWithinReserve},
 
+	{"internal/front/http1/deadlines.go", "(time.Time) error { return nil }\n\nfunc (c *clientConn) beginWrite() { c.TCPConn.SetWriteDeadline(time.Now().Add(writeTimeout)) }", "(t time.Time) error { return c.TCPConn.SetWriteDeadline(t) }\n\nfunc (c *clientConn) beginWrite() {}", uploadTests, "TestWriteDeadlineFromHeadDoesNotLoseTheAnswer"},
+	{"internal/front/upload.go", "if u.complete || u.ended {", "if u.ended {", interruptTests, "TestInterruptLeavesCompleteBodyAlone"},
+	{"internal/core/disconnect.go", "if !x.connectionClosed() {", "if false {", disconnectTests, "TestRequestEndsOnlyByEvidenceFromItsClient"},
+	{"internal/upstream/attempt.go", "return s.Source.EarliestEnd().Add(", "return time.Now().Add(", uploadTests, "TestUploadToStalledEndpointIsAnsweredInTime"},
+
 	{"internal/broker/capacity.go", "if c.inFlight--; c.inFlight <= 0 {", "if c.inFlight <= 0 {", chargeTests, attemptsMiscounted},
 	{"internal/broker/capacity.go", "	c.inFlight++\n", "	c.inFlight += 2\n", chargeTests, attemptsMiscounted},
 	{"internal/broker/capacity.go", "		c.inFlight, c.inFlightWork, c.idleSince = 0, 0, now // discards rounding errors\n	}\n	c.inFlightWork = math.Max(c.inFlightWork-t.work, 0)\n", "		c.inFlight, c.idleSince = 0, now\n	}\n", chargeTests, workInFlightWhenIdle},
@@ -344,7 +354,7 @@
 		return "internal/fleet/quota"
 	case killTests, stopProcessTests:
 		return "cmd/spokegw"
-	case stopFrontTests:
+	case stopFrontTests, uploadTests:
 		return "internal/front/http1"
 	case verdictTests:
 		return "internal/lab/federation"
--- a/internal/front/http1/deadlines.go
+++ b/internal/front/http1/deadlines.go
@@ -30,6 +30,8 @@
 // SetWriteDeadline does nothing: each write sets its own deadline as it begins.
 func (c *clientConn) SetWriteDeadline(time.Time) error { return nil }
 
+func (c *clientConn) beginWrite() { c.TCPConn.SetWriteDeadline(time.Now().Add(writeTimeout)) }
+
 // Write writes a piece of an answer. The client has writeTimeout to take it.
 func (c *clientConn) Write(b []byte) (int, error) {
 	c.beginWrite()
@@ -46,8 +48,6 @@
 	return err
 }
 
-func (c *clientConn) beginWrite() { c.TCPConn.SetWriteDeadline(time.Now().Add(writeTimeout)) }
-
 func (c *clientConn) endWrite(n int64) {
 	if n > 0 {
 		c.lastActive.Store(int64(front.Now()))
--- a/internal/lab/trial/endpoint.go
+++ b/internal/lab/trial/endpoint.go
@@ -52,8 +52,9 @@
 	cold   *lab.ColdStart // nil: it is warm
 	since  time.Time      // it started
 
-	mu   sync.Mutex
-	mood mood
+	mu     sync.Mutex
+	mood   mood
+	bodies bodyTreatment
 }
 
 // start has an endpoint serve as it is described.
@@ -92,7 +93,12 @@
 )
 
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	switch e.readBody(r) {
+	case bodyAnswered:
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case bodyBroken:
 		panic(http.ErrAbortHandler)
 	}
 	first := e.proxy.Asked(r.RemoteAddr)
--- a/internal/lab/trial/judge.go
+++ b/internal/lab/trial/judge.go
@@ -193,7 +193,7 @@
 	if !s.left.IsZero() && a.first.After(s.left.Add(departedAfter+j.slack())) {
 		j.breaksLocked(Departed, j.lateSince(s.left), "%s: an attempt %v after its client left", a.id, a.first.Sub(s.left))
 	}
-	if left := s.deadline - a.first.Sub(s.at); a.told > left+deadlineSlack+j.slack() {
+	if left := s.timeLeft(a.first); a.told > left+deadlineSlack+j.slack() {
 		j.breaksLocked(Deadline, j.lateSince(s.at), "%s: told %v with %v left", a.id, a.told, left)
 	}
 }
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -40,7 +40,10 @@
 	Stops     StopKind       // nothing but planned stops of these kinds is played; 0: all faults are
 	// OrderDeadline is the deadline of the unsafe class; 0: the usual one.
 	OrderDeadline time.Duration
-	Only          []int // numbers of the faults of a random course that are played; nil: all are
+	// Uploaders is how many sidecars have a client that sends long bodies, while endpoints hang, read
+	// slowly, reset or answer in the middle of them.
+	Uploaders int
+	Only      []int // numbers of the faults of a random course that are played; nil: all are
 }
 
 // Scene is a course in which open watches fall silent, one endpoint begins to drain 0.2 s
@@ -53,6 +56,7 @@
 // Report is what came of it.
 type Report struct {
 	Asked, Served, Refused, Failed int64
+	Uploads                        int64 // requests with long bodies that were written whole
 	Broken                         []Violation
 	Late                           map[string]Lateness // by sidecar and endpoint that drains
 	Heard                          []time.Duration     // after each drain, when the registry wrote it to each sidecar, in order
@@ -79,7 +83,7 @@
 	rng       *rand.Rand
 	entries   map[string]discovery.Entry
 
-	asked, served, refused, failed, doors atomic.Int64
+	asked, served, refused, failed, doors, uploads atomic.Int64
 
 	mu     sync.Mutex
 	faults []string
@@ -109,6 +113,12 @@
 			clients.Go(func() { cl.run(playing) })
 		}
 	}
+	for i := range min(c.Uploaders, c.Sidecars) {
+		clients.Go(func() { p.newUploader(i).run(playing) })
+	}
+	if c.Uploaders > 0 {
+		clients.Go(func() { p.treatBodies(playing) })
+	}
 	if c.Scene != nil {
 		p.script(playing)
 	} else {
@@ -245,7 +255,7 @@
 func (p *play) report() *Report {
 	p.judge.duplicates()
 	used := p.judge.cold(p.endpoints)
-	r := &Report{Asked: p.asked.Load(), Served: p.served.Load(), Refused: p.refused.Load(), Failed: p.failed.Load(), Faults: p.faults, Late: p.judge.late,
+	r := &Report{Asked: p.asked.Load(), Uploads: p.uploads.Load(), Served: p.served.Load(), Refused: p.refused.Load(), Failed: p.failed.Load(), Faults: p.faults, Late: p.judge.late,
 		Played: p.played, Cold: len(used), Used: slices.Max(append(used, 0))}
 	r.Heard, r.Unheard = p.judge.heard()
 	r.Stops, r.Doors = p.stops, p.doors.Load()
