--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -19,8 +19,8 @@
 const (
 	// MaxLine bounds a call in bytes. The longest valid one is a command with the longest id.
 	MaxLine = 1 << 10
-	// callTimeout is for receiving a call and sending its answer. A person who types needs
-	// seconds; idle callers are closed earlier if others need their slots.
+	// callTimeout is for receiving a call, and again for sending its answer. A person who types
+	// needs seconds; idle callers are closed earlier if others need their slots.
 	callTimeout = 10 * time.Second
 	// linger gives a caller time to read the answer to a line that is too long: a reset, sent
 	// because of unread data, could overtake it. The caller may send lingerBytes more; one that
@@ -157,12 +157,13 @@
 
 // serve reads a caller's line and answers it.
 func (s *Server) serve(c *caller) {
-	c.SetDeadline(time.Now().Add(callTimeout))
+	c.SetReadDeadline(time.Now().Add(callTimeout))
 	line, err := readLine(c)
 	if err != nil && !errors.Is(err, errTooLong) {
 		return // disconnected or sent nothing
 	}
 	s.setAnswering(c, true)
+	c.SetWriteDeadline(time.Now().Add(callTimeout))
 	if err != nil {
 		c.Write([]byte("NO " + err.Error() + "\n"))
 		s.setAnswering(c, false) // its slot may be reused while it still sends
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -157,3 +158,23 @@
 		}
 	}
 }
+
+// The time that a caller takes to send its line must not be taken from its answer's.
+func TestSlowCallerIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer client.Close()
+		s := &Server{commands: testCommands()}
+		s.serving.Go(func() {
+			s.serve(&caller{Conn: server})
+			server.Close()
+		})
+		time.Sleep(callTimeout - time.Millisecond) // in the bubble
+		io.WriteString(client, "ready\n")
+		time.Sleep(2 * time.Millisecond)
+		if answer, err := io.ReadAll(client); err != nil || !strings.HasPrefix(string(answer), Yes) {
+			t.Errorf("%q, %v", answer, err)
+		}
+		s.serving.Wait()
+	})
+}
