upstream, http1: requests, and ends of client connections, in files of their own

attempt.go held the request's and the streamed body's types beside the attempt, conns.go the evidence for a client's end beside reading and closing. Moved as they were; nothing else differs.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -107,7 +107,7 @@
 	{"internal/front/http1/deadlines.go", "(time.Time) error { return nil }\n\nfunc (c *clientConn) beginWrite() { c.TCPConn.SetWriteDeadline(time.Now().Add(writeTimeout)) }", "(t time.Time) error { return c.TCPConn.SetWriteDeadline(t) }\n\nfunc (c *clientConn) beginWrite() {}", uploadTests, "TestWriteDeadlineFromHeadDoesNotLoseTheAnswer"},
 	{"internal/front/upload.go", "if u.complete || u.ended {", "if u.ended {", interruptTests, "TestInterruptLeavesCompleteBodyAlone"},
 	{"internal/core/disconnect.go", "if !x.connectionClosed() {", "if false {", disconnectTests, "TestRequestEndsOnlyByEvidenceFromItsClient"},
-	{"internal/upstream/attempt.go", "return s.Source.EarliestEnd().Add(", "return time.Now().Add(", uploadTests, "TestUploadToStalledEndpointIsAnsweredInTime"},
+	{"internal/upstream/request.go", "return s.Source.EarliestEnd().Add(", "return time.Now().Add(", uploadTests, "TestUploadToStalledEndpointIsAnsweredInTime"},
 
 	{"internal/broker/capacity.go", "if c.inFlight--; c.inFlight <= 0 {", "if c.inFlight <= 0 {", chargeTests, attemptsMiscounted},
 	{"internal/broker/capacity.go", "	c.inFlight++\n", "	c.inFlight += 2\n", chargeTests, attemptsMiscounted},
