--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -31,6 +31,7 @@
 	work     time.Duration   // of a request that does not tell
 	served   int
 	declined int
+	readBody func(*http.Request) error
 	seen     func(*http.Request)
 	answer   func(http.ResponseWriter, *http.Request) bool
 	mostOpen int
@@ -43,6 +44,7 @@
 	Queue   int                                           // requests that may wait; 0: any number up to 10,000
 	Work    time.Duration                                 // of a request without Req-Cost
 	Body    int                                           // bytes of an answer
+	Read    func(*http.Request) error                     // reads a body, or part of it; nil: whole
 	Seen    func(*http.Request)                           // is told of every request that has come whole; nil: nobody is
 	Answer  func(http.ResponseWriter, *http.Request) bool // answers a request, in any bad way, or reports false; nil: none
 }
@@ -56,15 +58,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("endpoint: %w", err)
 	}
-	e := &Endpoint{listener: l, free: c.Workers, queue: c.Queue, work: c.Work, seen: c.Seen, answer: c.Answer, body: bytes.Repeat([]byte("."), c.Body)}
+	e := &Endpoint{listener: l, free: c.Workers, queue: c.Queue, work: c.Work, readBody: c.Read, seen: c.Seen, answer: c.Answer, body: bytes.Repeat([]byte("."), c.Body)}
 	if e.queue == 0 {
 		e.queue = maxQueue
 	}
+	if e.readBody == nil {
+		e.readBody = readWholeBody
+	}
 	e.server = &http.Server{Handler: e, ConnState: e.count}
 	go e.server.Serve(l)
 	return e, nil
 }
 
+func readWholeBody(r *http.Request) error {
+	_, err := io.Copy(io.Discard, r.Body)
+	return err
+}
+
 // SetWork sets the work of a request that does not tell: a neighbour takes a part of the
 // machine, or gives it back.
 func (e *Endpoint) SetWork(work time.Duration) {
@@ -99,7 +109,7 @@
 
 // ServeHTTP answers a request when its work is done, or not at all.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	if err := e.readBody(r); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if e.seen != nil {
