--- a/internal/lab/trial/uploads.go
+++ b/internal/lab/trial/uploads.go
@@ -16,9 +16,9 @@
 const (
 	uploadPause     = 400 * time.Millisecond // the mean between two uploads of a client
 	leastUpload     = 10_000                 // bytes
-	usualMostUpload = 6_000_000              // bytes
+	usualMostUpload = 16_000_000             // bytes
 	mostUpload      = 32_000_000             // bytes; one in hugeOneIn
-	hugeOneIn       = 40
+	hugeOneIn       = 20
 	slowOneIn       = 3 // uploads are written at slowRate
 	slowRate        = 64_000
 	mostSlowUpload  = 700_000 // bytes: 11 s
