--- a/review/stand2/operator_reload.go
+++ b/review/stand2/operator_reload.go
@@ -98,7 +98,7 @@
 	if err := write(2); err != nil {
 		return err
 	}
-	os.Setenv("SPOKEGW_OPERATOR", file)
+	p.operator = file
 	c := &config{Name: "n0", Listen: addr, Discovery: d.addr, Seed: "8d1f", Limits: machine, Known: d.whole(), Settings: settings(
 		map[string]any{"name": "tile", "effect": "read_like", "key_scope": "all", "dedup_window_ms": 5000.0, "aim_ms": 400.0, "hard_limit_ms": 1200.0, "late_worth": 0.5, "worth": 1.0, "stream": false},
 	)}
--- a/review/stand2/play.go
+++ b/review/stand2/play.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,10 +17,11 @@
 
 // play is one run of a case.
 type play struct {
-	root    string // of the repository
-	folder  string // temporary
-	trouble bool   // the case's disruption takes place
-	begun   time.Time
+	root     string // of the repository
+	folder   string // temporary
+	trouble  bool   // the case's disruption takes place
+	operator string // path of the operator's file; "": none
+	begun    time.Time
 
 	mu        sync.Mutex
 	record    *os.File
@@ -94,14 +97,13 @@
 
 // config is the file that a sidecar is told by.
 type config struct {
-	Name       string         `json:"name"`
-	Listen     string         `json:"listen"`
-	Discovery  string         `json:"discovery"`
-	Seed       string         `json:"seed"`
-	Management string         `json:"management,omitempty"`
-	Limits     map[string]any `json:"limits"`
-	Known      list           `json:"known"`
-	Settings   map[string]any `json:"settings"`
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Seed      string         `json:"seed"`
+	Limits    map[string]any `json:"limits"`
+	Known     list           `json:"known"`
+	Settings  map[string]any `json:"settings"`
 }
 
 // writeConfig writes the file as the platform replaces it: all at once.
@@ -117,6 +119,13 @@
 	return path, os.Rename(path+".new", path)
 }
 
+// plainEnv is the environment without settings of a sidecar.
+func plainEnv() []string {
+	return slices.DeleteFunc(os.Environ(), func(v string) bool {
+		return strings.HasPrefix(v, "NODE_") || strings.HasPrefix(v, "SPOKEGW_")
+	})
+}
+
 // startSidecar starts a sidecar by the command of the deploy file and waits until it is ready.
 func (p *play) startSidecar(c *config, path string) (*process, error) {
 	tmp, err := os.MkdirTemp(p.folder, "tmp-")
@@ -130,9 +139,9 @@
 	defer log.Close()
 	cmd := exec.Command("/bin/sh", "-c", "exec bin/spokegw")
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.root, log, log
-	cmd.Env = append(os.Environ(), "TMPDIR="+tmp, "NODE_CONFIG="+path, "NODE_NAME="+c.Name, "NODE_LISTEN="+c.Listen, "NODE_DISCOVERY="+c.Discovery)
-	if c.Management != "" {
-		cmd.Env = append(cmd.Env, "NODE_MANAGEMENT="+c.Management)
+	cmd.Env = append(plainEnv(), "TMPDIR="+tmp, "NODE_CONFIG="+path, "NODE_NAME="+c.Name, "NODE_LISTEN="+c.Listen, "NODE_DISCOVERY="+c.Discovery)
+	if p.operator != "" {
+		cmd.Env = append(cmd.Env, "SPOKEGW_OPERATOR="+p.operator)
 	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
