--- a/review/stand2/operator_reload.go
+++ b/review/stand2/operator_reload.go
@@ -95,7 +95,7 @@
 		}
 		return os.Rename(file+".new", file)
 	}
-	if err := write(2); err != nil {
+	if err := write(3); err != nil {
 		return err
 	}
 	p.operator = file
@@ -122,13 +122,13 @@
 			return err
 		}
 		if round == 1 && p.trouble {
-			if err := write(3); err != nil {
+			if err := write(2); err != nil {
 				return err
 			}
 			if err := q.signal(syscall.SIGHUP); err != nil {
 				return err
 			}
-			p.note("the operator's file is replaced: attempts = 3 instead of 2; SIGHUP")
+			p.note("the operator's file is replaced: attempts = 2 instead of 3; SIGHUP")
 		}
 		time.Sleep(1200 * time.Millisecond)
 		if err := p.sendReports(addr, "again", keys); err != nil {
