review: scripts name TROUBLE, and their sidecars end however they end

run.sh said nothing of TROUBLE, which stand2 alone read. A script that was killed could leave its sidecar: of three that were ended by TERM, INT and KILL some were still there a second later, as the parent-death signal was relied on. A play now ends at TERM, INT and HUP in order, and a guard process ends its sidecars and its folder if it is killed: none left after 1 s with TERM and HUP, after 2 s with KILL.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,9 @@
 #!/bin/sh
+# The disruption: the configuration is replaced by one that is short of a key, with SIGHUP.
+# TROUBLE=0 plays the same without the disruption; TROUBLE=1, the default, with it.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
 [ -x "$root/bin/spokegw" ] && [ -x "$root/bin/stand2" ] || exit 2
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -18,6 +20,10 @@
 const limit = 115 * time.Second
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "guard" {
+		keepGuard(os.Args[2])
+		return
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE ROOT FOLDER")
 		os.Exit(2)
@@ -39,12 +45,21 @@
 		return 2
 	}
 	defer os.RemoveAll(p.folder)
+	if p.guard, err = startGuard(p.folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer p.guard.end()
 	defer p.end()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	p.note("case %s, trouble %v", name, p.trouble)
 	done := make(chan error, 1)
 	go func() { done <- cases[name](p) }()
 	select {
 	case err = <-done:
+	case s := <-ended:
+		err = fmt.Errorf("ended by a signal: %v", s)
 	case <-time.After(limit):
 		err = fmt.Errorf("the case took longer than %v", limit)
 	}
--- a/review/stand2/play.go
+++ b/review/stand2/play.go
@@ -21,6 +21,7 @@
 	folder   string // temporary
 	trouble  bool   // the case's disruption takes place
 	operator string // path of the operator's file; "": none
+	guard    *guard
 	begun    time.Time
 
 	mu        sync.Mutex
@@ -143,13 +144,14 @@
 	if p.operator != "" {
 		cmd.Env = append(cmd.Env, "SPOKEGW_OPERATOR="+p.operator)
 	}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
+	p.guard.tell("started", cmd.Process.Pid)
 	q := &process{name: c.Name, cmd: cmd, ended: make(chan struct{})}
 	go func() {
 		q.status = cmd.Wait()
+		p.guard.tell("ended", cmd.Process.Pid)
 		close(q.ended)
 	}()
 	p.mu.Lock()
