--- a/review/stand2/operator_reload.go
+++ b/review/stand2/operator_reload.go
@@ -29,7 +29,7 @@
 name = "closures"
 effect = "keyed"
 scope = "pod"
-window = "20s"
+window = "5s"
 aim = "300ms"
 deadline = "1s"
 worth = 3.0
@@ -51,14 +51,14 @@
 burst = 400
 `
 
-// operatorReload: reports are sent whose answers get lost behind their endpoint, so that they may
-// have run. The operator's file is replaced, with another number of attempts, and the sidecar gets
-// SIGHUP. Then the clients send their reports again, with the same keys and in the window.
+// operatorReload: reports are sent, and the answer to one in three gets lost behind its endpoint, so that it
+// may have run. The operator's file is replaced, with another number of attempts, and the sidecar gets
+// SIGHUP. Then the clients send those reports again, with the same keys and in the window.
 func operatorReload(p *play) error {
-	pods := &cells{window: 20 * time.Second, seen: map[string]time.Time{}, ran: map[string][]string{}}
+	pods := &cells{window: 5 * time.Second, seen: map[string]time.Time{}, ran: map[string][]string{}}
 	serve := func(e *endpoint, w http.ResponseWriter, r *http.Request, body []byte) {
 		key := r.Header.Get("Idempotency-Key")
-		if key != "" && pods.runs(e, key) {
+		if key != "" && pods.runs(e, key) && strings.HasSuffix(key, "e") {
 			p.note("endpoint %s runs key %s, and its answer gets lost", e.ID, key)
 			select { // the sidecar closes the connection when its time is over
 			case <-r.Context().Done():
@@ -112,11 +112,16 @@
 	}
 	defer p.copyLog(c.Name, 6000)
 
-	const reports = 30
+	const reports, lostOneIn = 90, 3
 	for round := range 2 { // the first without a reload, for comparison
-		keys := make([]string, reports)
-		for i := range keys {
-			keys[i] = newID() + newID()
+		var keys, lost []string
+		for i := range reports {
+			key := newID() + newID() + "0"
+			if i%lostOneIn == 0 {
+				key = key[:len(key)-1] + "e"
+				lost = append(lost, key)
+			}
+			keys = append(keys, key)
 		}
 		if err := p.sendReports(addr, "first", keys); err != nil {
 			return err
@@ -131,7 +136,7 @@
 			p.note("the operator's file is replaced: attempts = 2 instead of 3; SIGHUP")
 		}
 		time.Sleep(1200 * time.Millisecond)
-		if err := p.sendReports(addr, "again", keys); err != nil {
+		if err := p.sendReports(addr, "again", lost); err != nil {
 			return err
 		}
 		pods.mu.Lock()
@@ -155,7 +160,7 @@
 	count := map[int]int{}
 	for i, key := range keys {
 		all.Go(func() {
-			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
 			r := &request{method: "POST", class: "closures", id: newID(), key: key, user: "u1", deadline: time.Second, body: "lift 3 closed"}
 			_, a := ask(nil, addr, r)
 			p.note("a client's POST %s (%s) with key %s: %v", r.id, what, key, a)
