framing: refuse Transfer-Encoding in requests of HTTP/1.0

Cause: Check did not look at the version, so the head counted as chunked and what followed was given to net/http as it came; net/http ignores the field in that version and takes the request to have no body.

CheckRequest refuses the field in versions before 1.1, with 400 and a close, as whatever leaves the end of a message open. 1.9 goes on counting as 1.1 (RFC 9110, 2.5), and a length in 1.0 is read as before.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -42,6 +42,7 @@
 	errField     = errors.New("a line of the head is not a valid header field")
 	errLength    = errors.New("Content-Length is invalid or appears twice")
 	errCoding    = errors.New("Transfer-Encoding is not chunked or appears twice")
+	errVersion   = errors.New("Transfer-Encoding is present in a version of HTTP without transfer codings")
 	errAmbiguous = errors.New("both Content-Length and Transfer-Encoding are present")
 )
 
@@ -61,6 +62,27 @@
 	}
 }
 
+// CheckRequest parses the complete head of a request. Of the start line it checks only what the end
+// of the message depends on: HTTP/1.0 has no transfer codings, so that some readers ignore
+// Transfer-Encoding in it and take the body for the next request (RFC 9112 section 6.1).
+func CheckRequest(head []byte) (Head, error) {
+	h, err := Check(head)
+	if err == nil && h.Chunked && !hasTransferCodings(head) {
+		err = errVersion
+	}
+	return h, err
+}
+
+// hasTransferCodings reports whether the version in a request line is HTTP/1.1 or a later minor one.
+func hasTransferCodings(head []byte) bool {
+	const version = "HTTP/1."
+	line, _, _ := bytes.Cut(head, crlf)
+	_, afterMethod, _ := bytes.Cut(line, space)
+	_, protocol, _ := bytes.Cut(afterMethod, space)
+	minor, found := bytes.CutPrefix(protocol, []byte(version))
+	return found && len(minor) == 1 && '1' <= minor[0] && minor[0] <= '9'
+}
+
 // Check parses a complete head. It does not check the content of the start line.
 func Check(head []byte) (Head, error) {
 	h := Head{Length: -1}
@@ -101,7 +123,7 @@
 	return h, nil
 }
 
-var crlf, colon = []byte("\r\n"), []byte(":")
+var crlf, colon, space = []byte("\r\n"), []byte(":"), []byte(" ")
 
 // Classes of bytes in a head (RFC 9110 sections 5.5 and 5.6.2).
 const (
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -42,3 +42,21 @@
 		}
 	}
 }
+
+// Guards against a request of HTTP/1.0 that counts as chunked here and as one without a body for
+// net/http, which then takes its body for the next request.
+func TestTransferCodingNeedsItsVersion(t *testing.T) {
+	const fields = "Host: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for line, want := range map[string]error{
+		"POST /a HTTP/1.1": nil, "POST /a HTTP/1.9": nil,
+		"POST /a HTTP/1.0": errVersion, "POST /a HTTP/0.9": errVersion, "POST /a HTTP/2.0": errVersion, "POST /a": errVersion,
+		"POST /a HTTP/1.0 HTTP/1.1": errVersion, "POST  /a HTTP/1.1": errVersion, "POST /a HTTP/1.": errVersion, "POST /a HTTP/1.10": errVersion, "": errVersion,
+	} {
+		if _, err := CheckRequest([]byte(line + "\r\n" + fields)); err != want {
+			t.Errorf("%q: error %v, want %v", line, err, want)
+		}
+		if _, err := CheckRequest([]byte(line + "\r\nHost: a\r\nContent-Length: 3\r\n\r\n")); err != nil {
+			t.Errorf("%q with a length: %v", line, err)
+		}
+	}
+}
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -266,7 +266,7 @@
 	case framing.CountFields(c.head[:end]) > framing.MaxFields:
 		fault = errTooManyFields
 	default:
-		h, fault = framing.Check(c.head[:end])
+		h, fault = framing.CheckRequest(c.head[:end])
 	}
 	c.ready, c.head = c.head, nil
 	c.passthrough = fault != nil || h.Chunked
--- a/internal/front/http1/http1_test.go
+++ b/internal/front/http1/http1_test.go
@@ -264,6 +264,45 @@
 	})
 }
 
+// Guards against a request of HTTP/1.0 with Transfer-Encoding that runs with an empty body, and
+// against one hidden in its body that runs as a request of its own.
+func TestTransferCodingOfVersion10IsRefused(t *testing.T) {
+	reached := make(chan string, 100)
+	s := start(t, nil, listenEndpoint(t, echo(func(r *http.Request) { reached <- r.Header.Get("Req-Id") })))
+	const old, chunks = "\r\nTransfer-Encoding: chunked\r\n", "b\r\nlift 4 open\r\n0\r\n\r\n"
+	head := strings.Replace(reportHead, "HTTP/1.1", "HTTP/1.0", 1) + "Req-Id: outer" + old
+	played := 10 // ids differ, and have one length
+	for name, text := range map[string]string{
+		"chunks":                    head + "\r\n" + chunks,
+		"a request as body":         head + "Connection: keep-alive\r\n\r\n" + tile("hidden"),
+		"a request behind chunks":   head + "Connection: keep-alive\r\n\r\n0\r\n\r\n" + tile("hidden"),
+		"with a length":             head + "Connection: keep-alive\r\nContent-Length: 0\r\n\r\n" + tile("hidden"),
+		"a GET":                     strings.Replace(tileHead, "HTTP/1.1", "HTTP/1.0", 1) + "Req-Id: outer" + old + "Connection: keep-alive\r\n\r\n" + tile("hidden"),
+		"a check of health":         "GET /health/ready HTTP/1.0\r\nHost: b" + old + "Connection: keep-alive\r\n\r\n" + tile("hidden"),
+		"version 0.9":               strings.Replace(head, "HTTP/1.0", "HTTP/0.9", 1) + "Connection: keep-alive\r\n\r\n" + tile("hidden"),
+		"behind a head handed over": "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n" + head + "Connection: keep-alive\r\n\r\n" + tile("hidden"),
+	} {
+		for _, split := range []int{0, strings.Index(text, "\r\n\r\n") + 4} { // at once, or the body after the head
+			c := dial(t, s)
+			played++
+			text := strings.NewReplacer("outer", fmt.Sprint("out", played), "hidden", fmt.Sprint("hidd", played)).Replace(text)
+			io.WriteString(c, text[:split])
+			io.WriteString(c, text[split:])
+			answers, err := io.ReadAll(c)
+			if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("%s: %v", name, err)
+			}
+			allowed := strings.Count(text, "/health/ready HTTP/1.1")
+			if served := strings.Count(string(answers), "HTTP/1.1 200") + strings.Count(string(answers), "HTTP/1.0 200"); served > allowed {
+				t.Errorf("%s: answered %q", name, answers)
+			}
+		}
+	}
+	if len(reached) > 0 {
+		t.Errorf("%d requests were forwarded, the first is %q", len(reached), <-reached)
+	}
+}
+
 // The target that was matched is forwarded byte for byte, and a field whose name is a
 // known one spelled with _ is dropped.
 func TestForwardedAsMatched(t *testing.T) {
