http1: a connection closes after a message whose end is known to net/http alone

Whether it closed hung on net/http having seen a coding, the very thing on which the two readers differed.

The connection now notes it as it reads the head, and its answer says close. With pipelining, where the head of the next request may be read before the answer to the one before it, net/http's view still decides.

TestUnboundedMessageClosesItsConnection failed before.

--- a/internal/framing/request_test.go
+++ b/internal/framing/request_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"reflect"
 	"strings"
@@ -86,6 +87,86 @@
 	})
 }
 
+// diffEnd describes where CheckRequest and net/http disagree on where the body of a request ends; ""
+// means nowhere, or that one of them refuses it.
+func diffEnd(head []byte) string {
+	own, err := CheckRequest(head)
+	if err != nil {
+		return ""
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil {
+		return ""
+	}
+	length, codings := max(own.Length, 0), 0
+	if own.Chunked {
+		length, codings = -1, 1
+	}
+	if r.ContentLength != length || len(r.TransferEncoding) != codings {
+		return fmt.Sprintf("%+v, net/http: length %d, codings %q", own, r.ContentLength, r.TransferEncoding)
+	}
+	return ""
+}
+
+// headParts are what heads are composed of: a part of each row, and of the last row up to three.
+var headParts = [][]string{
+	{"POST", "GET", "HEAD", "PRI", "CONNECT", "post"},
+	{" /a", " *", " http://b/a", " /a b", "  /a", " "},
+	{" HTTP/1.1", " HTTP/1.0", " HTTP/0.9", " HTTP/1.9", " HTTP/2.0", " HTTP/1.1 ", " HTTP/1.10", " http/1.1", " HTTP/1.0 HTTP/1.1", ""},
+	{"\r\n", "\n", "\r\r\n"},
+	{"Host: b\r\n", "Host: b\r\nHost: c\r\n", ""},
+	{
+		"Transfer-Encoding: chunked\r\n", "transfer-encoding:\tChunked \r\n", "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n",
+		"Transfer-Encoding : chunked\r\n", "Transfer_Encoding: chunked\r\n", "X: y\r\n Transfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\n",
+		"Content-Length: 3\r\n", "content-length: 0\r\n", "Content-Length: 03\r\n", "Content-Length: +3\r\n", "Content-Length: 3, 3\r\n", "Content-Length:\r\n", "Content-Length: 0x3\r\n",
+		"Connection: keep-alive\r\n", "Connection: close, Transfer-Encoding\r\n", "Expect: 100-continue\r\n", "Upgrade: h2c\r\n", "Trailer: Content-Length\r\n", "",
+	},
+}
+
+// Guards against a head that the check accepts and net/http reads with another end, so that a part of
+// its body is read as a request.
+func TestRequestsEndWhereNetHTTPEndsThem(t *testing.T) {
+	const heads, seed = 50_000, 81
+	random := rand.New(rand.NewPCG(seed, 0))
+	accepted := 0
+	for range heads {
+		var head []byte
+		add := func(row int) { head = append(head, headParts[row][random.IntN(len(headParts[row]))]...) }
+		for row := range headParts {
+			add(row)
+		}
+		for range random.IntN(3) {
+			add(len(headParts) - 1)
+		}
+		head = append(head, "\r\n"...)
+		if _, err := CheckRequest(head); err == nil {
+			accepted++
+		}
+		if diff := diffEnd(head); diff != "" {
+			t.Fatalf("%q: %s", head, diff)
+		}
+	}
+	if accepted < heads/20 {
+		t.Errorf("only %d of %d heads were accepted", accepted, heads)
+	}
+}
+
+func FuzzRequestEnd(f *testing.F) {
+	for _, s := range requestSeeds {
+		f.Add([]byte(s))
+	}
+	f.Add([]byte("POST /a HTTP/1.0\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if end := End(b); end == 0 || end != len(b) {
+			return
+		}
+		if diff := diffEnd(b); diff != "" {
+			t.Errorf("%q: %s", b, diff)
+		}
+	})
+}
+
 func BenchmarkReadRequest(b *testing.B) {
 	text := []byte("GET /map-tile/3/7?user=k HTTP/1.1\r\nHost: sidecar\r\nReq-Id: 123456\r\nReq-Kind: map-tile\r\nReq-Owner: patrols\r\nReq-Deadline: 7000m\r\n\r\n")
 	b.Run("own", func(b *testing.B) {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -32,6 +32,7 @@
 	bodyLeft    int64                  // length of the body after ready
 	passthrough bool                   // what follows is returned as received: the body is chunked, or the head malformed
 
+	endUnknown  atomic.Bool // the end of the latest message is not known here: no head is served after it; unused with pipelining
 	serving     atomic.Bool // a request has been returned and its answer has not begun
 	extraData   atomic.Bool // data followed that request
 	chunkedRead atomic.Bool // that request's chunked body has been read to its end
@@ -270,6 +271,7 @@
 	}
 	c.ready, c.head = c.head, nil
 	c.passthrough = fault != nil || h.Chunked
+	c.endUnknown.Store(c.passthrough && !c.table.pipelining) // with pipelining the one before may be unanswered
 	if fault != nil {
 		c.ready = []byte(malformedHead)
 	}
@@ -355,11 +357,11 @@
 
 // beginAnswer marks the start of the answer: what arrives from now on may be the next
 // request. It reports whether the connection closes after this answer, because
-// something arrived too early or to free capacity.
+// something arrived too early, the end of the request is not known here, or to free capacity.
 func (c *clientConn) beginAnswer() (last bool) {
 	c.mu.Lock()
 	c.serving.Store(false)
-	last = c.extraData.Load()
+	last = c.extraData.Load() || c.endUnknown.Load()
 	c.mu.Unlock()
 	return last || c.table.mustClose(c)
 }
--- a/internal/front/http1/disconnect_test.go
+++ b/internal/front/http1/disconnect_test.go
@@ -233,3 +233,21 @@
 		})
 	}
 }
+
+// Guards against a connection that is kept after a message whose end is known to net/http alone: what
+// follows that message is not checked.
+func TestUnboundedMessageClosesItsConnection(t *testing.T) {
+	chunked := reportHead + "Req-Id: u1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	for text, last := range map[string]bool{report("u2", "abc"): false, tile("u3"): false, chunked: true, tileHead + "Req-Id : u4\r\n\r\n": true} {
+		client, accepted := socketPair(t)
+		conn := newConnTable(10, 10).add(accepted)
+		io.WriteString(client, text)
+		if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
+			t.Fatal(err)
+		}
+		if got := conn.beginAnswer(); got != last {
+			t.Errorf("%q: closes after the answer: %t, want %t", text, got, last)
+		}
+		conn.TCPConn.Close()
+	}
+}
