core: an id is in use as long as its request is open

Cause: ids were remembered by count, the latest 4,096 to 8,192, and only from when the body had come. At 310 requests a second an open one was forgotten after 13 to 26 s.

requestIDs now holds the id of an open request from the end of its head until its answer is written or it is dropped; what has ended is remembered by count as before. There are as many as open requests.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	owner    *upstream.Answer // owner of the buffers, released with the answer; nil: none
 	counters *figures.Class   // nil: the request is not counted
 	stream   *upstream.Stream
+	id       openID // of the request, which is open until the answer is written
 }
 
 // Stream is the remaining body of a long answer, read as it is passed on.
@@ -54,11 +55,11 @@
 
 // Replace replaces an answer that the client has not seen. The request is still counted once.
 func (a *Answer) Replace(other *Answer) {
-	counters := a.counters
-	a.counters = nil
+	counters, id := a.counters, a.id
+	a.counters, a.id = nil, openID{}
 	a.Free()
 	*a = *other
-	a.counters = counters
+	a.counters, a.id = counters, id
 }
 
 // Stream is the remaining body after Body; nil: none. Free closes it.
@@ -92,6 +93,7 @@
 	if a.owner != nil {
 		a.owner.Free()
 	}
+	a.id.end()
 }
 
 func malformed(status int, reason string) *Answer {
@@ -101,15 +103,15 @@
 // Core handles the requests of all fronts.
 type Core struct {
 	table   atomic.Pointer[Table]
-	ids     *recentIDs // shared by all fronts: an id is in use only once
-	idPeers IDPeers    // nil: there are no other processes
+	ids     *requestIDs // shared by all fronts: an id is in use only once
+	idPeers IDPeers     // nil: there are no other processes
 	taps    taps
 	stop    atomic.Pointer[stopping] // nil: the process is not stopping
 }
 
 // New makes a core that serves requests by the table.
 func New(t *Table) *Core {
-	c := &Core{ids: newRecentIDs()}
+	c := &Core{ids: newRequestIDs()}
 	c.SetTable(t)
 	return c
 }
@@ -140,6 +142,7 @@
 	core      *Core
 	service   *Service
 	slot      *classSlot    // of its class
+	id        openID        // in use from Open on; the answer of Do holds it until it is written
 	timeGiven time.Duration // by its client, from when the request was received
 	head      *Head
 	opened    time.Time
@@ -190,6 +193,10 @@
 			x.trace.endWith(refused)
 			return nil, refused
 		}
+		if refused = x.claimID(); refused != nil {
+			x.Drop(refused)
+			return nil, refused
+		}
 		return x, nil
 	}
 }
@@ -232,6 +239,7 @@
 // client, nil for none. A refusal is counted, since only a lack of capacity stopped a valid
 // request; a malformed request is not.
 func (x *Exchange) Drop(a *Answer) {
+	x.id.forget()
 	x.release()
 	x.service.withdraw(x)
 	x.trace.endWith(a)
@@ -268,10 +276,12 @@
 // called. Do returns ErrClientDisconnected, and no answer, if ctx ends or ClientDisconnected is
 // called before there is one.
 func (x *Exchange) Do(ctx context.Context, body []byte) (Answer, error) {
-	if a := x.claimID(); a != nil {
-		x.Drop(a)
-		return *a, nil
-	}
+	answered := false
+	defer func() {
+		if !answered {
+			x.id.end()
+		}
+	}()
 	if x.slot.rules.Effect == policy.Keyed {
 		x.keyed, x.key = true, x.core.ids.hash(x.head.Header.Get("Req-Owner"), x.head.Header.Get("Idempotency-Key"))
 	}
@@ -299,14 +309,16 @@
 		x.recordDisconnect(x.evidence)
 		return Answer{}, ErrClientDisconnected
 	}
-	a.counters = x.slot.counters
+	a.counters, a.id = x.slot.counters, x.id
+	answered = true
 	x.trace.endWith(&a)
 	return a, nil
 }
 
 // claimID returns the answer to a request whose id does not allow it to be sent; nil: it does.
 func (x *Exchange) claimID() *Answer {
-	claimed, err := x.core.claimID(x.head.Header.Get("Req-Id"))
+	id, claimed, err := x.core.claimID(x.head.Header.Get("Req-Id"))
+	x.id = id
 	if !claimed {
 		return malformed(http.StatusConflict, "Req-Id is in use or was of late")
 	}
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -5,23 +5,26 @@
 	"sync"
 )
 
-// minIDs is the minimum number of remembered ids; the maximum is twice that. This is some
-// seconds' worth at the request rates of a sidecar, and far more than can be open at once.
+// minIDs is the minimum number of remembered ids of ended requests; the maximum is twice that. This is
+// some seconds' worth at the request rates of a sidecar.
 const minIDs = 4096
 
-// recentIDs remembers the ids of the most recent requests. Every request has a new id, so an id
-// that is repeated belongs to a different request: forwarding it while the first is open would
-// look like a second copy of that one, and the two answers could be confused. A hash collision,
-// about one in 10^15, refuses a valid request.
+// requestIDs knows the ids of open requests, and remembers those of the most recent ended ones. Every
+// request has a new id, so an id that is repeated belongs to a different request: forwarding it while
+// the first is open would look like a second copy of that one, and the two answers could be confused.
+// A hash collision, about one in 10^15, refuses a valid request.
+//
+// There are as many open ids as open requests, which the fronts bound.
 //
 // The hash is keyed, so that clients can't construct collisions. The key can be handed over to
 // the successor of this process.
-type recentIDs struct {
+type requestIDs struct {
 	key uint64
 
 	mu     sync.Mutex
-	own    hashSet
-	others hashSet // of requests to other processes of the sidecar
+	open   map[uint64]struct{} // of requests from the end of their heads until their answers are written
+	ended  hashSet             // of requests that were sent on
+	others hashSet             // of requests to other processes of the sidecar
 }
 
 // hashSet remembers the most recent hashes, minIDs at least and twice that at most.
@@ -44,12 +47,44 @@
 	s.current[h] = struct{}{}
 }
 
-func newRecentIDs() *recentIDs {
-	return &recentIDs{key: rand.Uint64(), own: hashSet{current: make(map[uint64]struct{}, minIDs)}}
+// usualOpen is the number of open requests that need no further memory for their ids.
+const usualOpen = 128
+
+func newRequestIDs() *requestIDs {
+	return &requestIDs{
+		key:   rand.Uint64(),
+		open:  make(map[uint64]struct{}, usualOpen),
+		ended: hashSet{current: make(map[uint64]struct{}, minIDs)},
+	}
+}
+
+// openID is the id of an open request. The zero value is that of none.
+type openID struct {
+	ids  *requestIDs
+	hash uint64
+}
+
+// end records that the request, which may have been sent on, has ended. Nothing happens for the zero
+// value.
+func (o openID) end() { o.close(true) }
+
+// forget records that the request has ended and was never sent on.
+func (o openID) forget() { o.close(false) }
+
+func (o openID) close(remember bool) {
+	if o.ids == nil {
+		return
+	}
+	o.ids.mu.Lock()
+	defer o.ids.mu.Unlock()
+	delete(o.ids.open, o.hash)
+	if remember {
+		o.ids.ended.add(o.hash)
+	}
 }
 
 // hash is FNV-1a over terminated texts, seeded and finalized with the key.
-func (s *recentIDs) hash(texts ...string) uint64 {
+func (s *requestIDs) hash(texts ...string) uint64 {
 	const offset, prime, end = 14695981039346656037, 1099511628211, 256
 	h := s.key ^ offset
 	for _, text := range texts {
@@ -63,12 +98,12 @@
 	return h ^ h>>32
 }
 
-// all returns the remembered hashes and their key.
-func (s *recentIDs) all() (key uint64, hashes []uint64) {
+// all returns the known hashes, those of open requests first, and their key.
+func (s *requestIDs) all() (key uint64, hashes []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, half := range []map[uint64]struct{}{s.own.current, s.own.previous, s.others.current, s.others.previous} {
-		for h := range half {
+	for _, part := range []map[uint64]struct{}{s.open, s.ended.current, s.ended.previous, s.others.current, s.others.previous} {
+		for h := range part {
 			hashes = append(hashes, h)
 		}
 	}
@@ -76,36 +111,36 @@
 }
 
 // adopt remembers the hashes of another process, before any request is accepted here.
-func (s *recentIDs) adopt(key uint64, hashes []uint64) {
+func (s *requestIDs) adopt(key uint64, hashes []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.key, s.own.previous = key, make(map[uint64]struct{}, minIDs)
+	s.key, s.ended.previous = key, make(map[uint64]struct{}, minIDs)
 	for _, h := range hashes[:min(len(hashes), 4*minIDs)] {
-		s.own.previous[h] = struct{}{}
+		s.ended.previous[h] = struct{}{}
 	}
 }
 
 // adoptOne remembers the hash of a request to another process.
-func (s *recentIDs) adoptOne(hash uint64) {
+func (s *requestIDs) adoptOne(hash uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.others.add(hash)
 }
 
-// add records an id; it reports false if the id is already known.
-func (s *recentIDs) add(id string) (hash uint64, isNew bool) {
+// begin records the id of a request that opens; it reports false if the id is already known.
+func (s *requestIDs) begin(id string) (o openID, isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.hash(id)
-	if s.own.has(h) || s.others.has(h) {
-		return h, false
+	if _, isOpen := s.open[h]; isOpen || s.ended.has(h) || s.others.has(h) {
+		return openID{}, false
 	}
-	s.own.add(h)
-	return h, true
+	s.open[h] = struct{}{}
+	return openID{s, h}, true
 }
 
 // isOthers reports whether a request to another process has this hash.
-func (s *recentIDs) isOthers(hash uint64) bool {
+func (s *requestIDs) isOthers(hash uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.others.has(hash)
@@ -129,20 +164,23 @@
 // AdoptID remembers the hash of the id of a request that another process is about to send.
 func (c *Core) AdoptID(hash uint64) { c.ids.adoptOne(hash) }
 
-// claimID reports whether a request with this id may be sent: no other one with it has come to this
-// process or to a peer. Each process publishes the id before it reads what the others have
-// published, so that of two requests with the same id one at most is sent. After an error, another
-// process may have sent it.
-func (c *Core) claimID(id string) (claimed bool, err error) {
-	hash, isNew := c.ids.add(id)
+// claimID opens an id, unless another request with it has come to this process or to a peer. Each
+// process publishes the id before it reads what the others have published, so that of two requests
+// with the same id one at most is sent. After an error, another process may have sent it.
+func (c *Core) claimID(id string) (o openID, claimed bool, err error) {
+	o, isNew := c.ids.begin(id)
 	if !isNew || c.idPeers == nil || !c.idPeers.Exist() {
-		return isNew, nil
+		return o, isNew, nil
 	}
-	if err := c.idPeers.PublishID(hash); err != nil {
-		return true, err
+	if err := c.idPeers.PublishID(o.hash); err != nil {
+		return o, true, err
 	}
 	if err := c.idPeers.CatchUp(); err != nil {
-		return true, err
+		return o, true, err
+	}
+	if c.ids.isOthers(o.hash) {
+		o.forget()
+		return openID{}, false, nil
 	}
-	return !c.ids.isOthers(hash), nil
+	return o, true, nil
 }
--- a/internal/core/soak_test.go
+++ b/internal/core/soak_test.go
@@ -16,7 +16,7 @@
 // bounded table of keys without expired ones, and only the endpoints that are listed.
 func TestSoakServiceMemory(t *testing.T) {
 	const seconds, rate, listed = 4 * 3600, 10, 60
-	ids, keys := newRecentIDs(), keyed.New()
+	ids, keys := newRequestIDs(), keyed.New()
 	class := &policy.Class{Effect: policy.Keyed, Scope: policy.ScopeCell, DedupWindow: 600 * time.Millisecond, Deadline: 300 * time.Millisecond}
 	list := newEndpoints(slog.New(slog.DiscardHandler), []string{"std"}, nil)
 	removed := 0
@@ -27,10 +27,15 @@
 		now := time.Duration(s) * time.Second
 		for n := range rate {
 			id := fmt.Sprint(s, "-", n)
-			key, isNew := ids.add(id)
-			if _, again := ids.add(id); !isNew || again {
+			open, isNew := ids.begin(id)
+			if _, again := ids.begin(id); !isNew || again {
 				t.Fatalf("id %s must be new exactly once", id)
 			}
+			open.end()
+			if _, again := ids.begin(id); again {
+				t.Fatalf("id %s is new again after its request", id)
+			}
+			key := open.hash
 			ids.adoptOne(ids.hash("another's", id))
 			keys.RecordSent(now, key, class, policy.Endpoint{Cell: n}, 0)
 			keys.RecordEnded(key, n%2 == 0)
@@ -41,7 +46,7 @@
 		if s%3 == 0 {
 			list.disabled[entry(s).ID] = true
 		}
-		if held := len(ids.own.current) + len(ids.own.previous) + len(ids.others.current) + len(ids.others.previous); held > 4*minIDs {
+		if held := len(ids.open) + len(ids.ended.current) + len(ids.ended.previous) + len(ids.others.current) + len(ids.others.previous); held > 4*minIDs {
 			t.Fatalf("%d ids are held after %v", held, now)
 		}
 		if keys.Len() > 2*rate { // a window and a deadline are less than a second
