core, sidecar: an open id stays known to the other process of an upgrade

A request that stays open at the one, as its answer is read slowly, was forgotten at the other, where its id was answered 200 behind 8,300 other requests.

For every 2,048 ids that the processes publish among them each publishes those of its open requests again, with the record that exists; what is handed over is kept with the ids of others, and counts as ended when no other process is left.

TestIDOpenAtOldProcessIsInUseAtNewOne and, without the announcements, TestOpenIDIsInUseAtTheOtherProcess failed before.

--- a/cmd/spokegw/repeated_id_test.go
+++ b/cmd/spokegw/repeated_id_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 )
@@ -51,3 +53,58 @@
 	await(t, "the old process to end", old.Ended)
 	expectRefusal(s.dial(), "left-old", "again when the old process has ended")
 }
+
+// Guards against an id that the new process of an upgrade serves while its request, whose answer is read slowly, is open
+// at the old one, and more others have come since than are remembered of ended ones.
+func TestIDOpenAtOldProcessIsInUseAtNewOne(t *testing.T) {
+	const answerBytes, others, workers = 24 << 20, 8300, 16
+	s := newSidecarFixture(t)
+	s.answerFunc = func(w http.ResponseWriter, r *http.Request) bool {
+		if !strings.HasPrefix(r.Header.Get("Req-Id"), "long-") {
+			return false
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(answerBytes))
+		w.Write(make([]byte, answerBytes))
+		return true
+	}
+	s.start().ready(t)
+	var long []net.Conn
+	for _, id := range []string{"long-read", "long-unread"} {
+		c := s.dial()
+		io.WriteString(c, requestHead(id)+"\r\n")
+		if _, err := io.ReadFull(c, make([]byte, 100)); err != nil { // its answer has begun
+			t.Fatal(err)
+		}
+		long = append(long, c)
+	}
+	s.start().ready(t)
+	var flood sync.WaitGroup
+	for worker := range workers {
+		flood.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: testTimeout}
+			defer client.CloseIdleConnections()
+			for i := worker; i < others; i += workers {
+				r := s.request("map-tile")
+				r.Header.Set("Req-Id", fmt.Sprint("other-", i))
+				resp, err := client.Do(r)
+				if err != nil {
+					t.Errorf("another request: %v", err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	flood.Wait()
+	for _, id := range []string{"long-read", "long-unread"} {
+		c := s.dial()
+		io.WriteString(c, requestHead(id)+"\r\n")
+		if status, err := readStatus(c); status != http.StatusConflict {
+			t.Errorf("%s comes again at the new process: status %d, %v", id, status, err)
+		}
+	}
+	if n, err := io.CopyN(io.Discard, long[0], answerBytes-100); err != nil {
+		t.Errorf("the long answer ended after %d bytes: %v", n, err)
+	}
+}
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 )
 
@@ -25,6 +27,43 @@
 	open   map[uint64]struct{} // of requests from the end of their heads until their answers are written
 	ended  hashSet             // of requests that were sent on
 	others hashSet             // of requests to other processes of the sidecar
+
+	sinceAnnounced int // ids that the processes have published among them since open ones were last announced
+}
+
+// announceEvery is how many ids the processes of a sidecar publish among them before each announces its
+// open ones again. They remember minIDs at least, so that they know of an open one for as long as it
+// is open, with up to announceEvery open at once.
+const announceEvery = minIDs / 2
+
+// countPublished counts a published id, and reports whether open ones are to be announced again.
+func (s *requestIDs) countPublished() (announce bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sinceAnnounced++
+	if announce = s.sinceAnnounced >= announceEvery; announce {
+		s.sinceAnnounced = 0
+	}
+	return announce
+}
+
+// openHashes returns the hashes of open requests.
+func (s *requestIDs) openHashes() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
+// endOthers treats the ids of other processes, which have ended, as those of ended requests.
+func (s *requestIDs) endOthers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended.previous == nil {
+		s.ended.previous = make(map[uint64]struct{})
+	}
+	maps.Copy(s.ended.previous, s.others.previous)
+	maps.Copy(s.ended.previous, s.others.current)
+	s.others = hashSet{}
 }
 
 // hashSet remembers the most recent hashes, minIDs at least and twice that at most.
@@ -110,13 +149,14 @@
 	return s.key, hashes[:min(len(hashes), 4*minIDs)]
 }
 
-// adopt remembers the hashes of another process, before any request is accepted here.
+// adopt remembers the hashes of another process, before any request is accepted here. Some may be of
+// requests that are open there.
 func (s *requestIDs) adopt(key uint64, hashes []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.key, s.ended.previous = key, make(map[uint64]struct{}, minIDs)
+	s.key, s.others.previous = key, make(map[uint64]struct{}, len(hashes))
 	for _, h := range hashes[:min(len(hashes), 4*minIDs)] {
-		s.ended.previous[h] = struct{}{}
+		s.others.previous[h] = struct{}{}
 	}
 }
 
@@ -156,13 +196,31 @@
 	PublishID(hash uint64) error
 	// CatchUp adopts all that the peers have published so far. It does not wait for them.
 	CatchUp() error
+	// AnnounceOpenIDs has all of Core.OpenIDs published again soon. It does not wait.
+	AnnounceOpenIDs()
 }
 
 // SetIDPeers sets the other processes. It must be called before the first request.
 func (c *Core) SetIDPeers(p IDPeers) { c.idPeers = p }
 
 // AdoptID remembers the hash of the id of a request that another process is about to send.
-func (c *Core) AdoptID(hash uint64) { c.ids.adoptOne(hash) }
+func (c *Core) AdoptID(hash uint64) {
+	c.ids.adoptOne(hash)
+	c.countPublishedID()
+}
+
+// OpenIDs returns the hashes of the ids of open requests.
+func (c *Core) OpenIDs() []uint64 { return c.ids.openHashes() }
+
+// EndIDPeers reports that no other process accepts requests any more.
+func (c *Core) EndIDPeers() { c.ids.endOthers() }
+
+// countPublishedID has open ids announced again when the peers might otherwise forget them.
+func (c *Core) countPublishedID() {
+	if c.ids.countPublished() && c.idPeers != nil {
+		c.idPeers.AnnounceOpenIDs()
+	}
+}
 
 // claimID opens an id, unless another request with it has come to this process or to a peer. Each
 // process publishes the id before it reads what the others have published, so that of two requests
@@ -172,6 +230,7 @@
 	if !isNew || c.idPeers == nil || !c.idPeers.Exist() {
 		return o, isNew, nil
 	}
+	c.countPublishedID()
 	if err := c.idPeers.PublishID(o.hash); err != nil {
 		return o, true, err
 	}
--- a/internal/core/ids_test.go
+++ b/internal/core/ids_test.go
@@ -44,6 +44,12 @@
 	return nil
 }
 
+func (l *linkedIDs) AnnounceOpenIDs() {
+	for _, h := range l.core.OpenIDs() {
+		l.PublishID(h)
+	}
+}
+
 // An id that comes to two processes at the same time is sent by one of them at most, and by none that has
 // been told of it before.
 func TestIDIsClaimedByOneProcess(t *testing.T) {
@@ -201,3 +207,41 @@
 		t.Errorf("%d ids count as open when no request is", open)
 	}
 }
+
+// Guards against an id that one process of an upgrade serves while its request is open at the other, and many
+// others have come to both since.
+func TestOpenIDIsInUseAtTheOtherProcess(t *testing.T) {
+	const others = 30_000
+	toOld, toNew := new(idQueue), new(idQueue)
+	before, after := &Core{ids: newRequestIDs()}, &Core{ids: newRequestIDs()}
+	open := func(c *Core, id string) {
+		t.Helper()
+		if _, claimed, err := c.claimID(id); !claimed || err != nil {
+			t.Fatalf("%s is not claimed: %v", id, err)
+		}
+	}
+	open(before, "opened before the upgrade")
+	playRequests(t, before, "before", others)
+	after.AdoptIDs(before.RecentIDs())
+	before.SetIDPeers(&linkedIDs{before, toNew, toOld})
+	after.SetIDPeers(&linkedIDs{after, toOld, toNew})
+	open(before, "opened at the old process")
+	open(after, "opened at the new process")
+	playRequests(t, after, "new", others)
+	playRequests(t, before, "old", others)
+	playRequests(t, after, "new again", others)
+	for id, c := range map[string]*Core{"opened before the upgrade": after, "opened at the old process": after, "opened at the new process": before} {
+		for place, c := range map[string]*Core{"the other process": c, "the old process": before, "the new process": after} {
+			if _, claimed, _ := c.claimID(id); claimed {
+				t.Errorf("the id that was %s is served again at %s", id, place)
+			}
+		}
+	}
+	after.EndIDPeers()
+	if held := len(after.ids.others.current) + len(after.ids.others.previous); held > 0 {
+		t.Errorf("%d ids of others are held when they have ended", held)
+	}
+	if _, claimed, _ := after.claimID("opened at the old process"); claimed {
+		t.Error("right after the old process has ended its open id is served again")
+	}
+}
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -31,12 +31,13 @@
 	resizing sync.Mutex // serializes changes of the division
 
 	relays  chan func()    // each sends a key or an id from one peer process to the other
+	openIDs chan struct{}  // the ids of open requests are to be published again
 	results chan keyResult // confirmations to send
 }
 
 // joinUpgrade asks the serving process, if there is one, to hand over.
 func (s *Sidecar) joinUpgrade() *upgrade {
-	u := &upgrade{sidecar: s, division: handover.FullDivision(), predecessorEnded: make(chan struct{}), relays: make(chan func(), maxQueuedKeys), results: make(chan keyResult, maxQueuedKeys)}
+	u := &upgrade{sidecar: s, division: handover.FullDivision(), predecessorEnded: make(chan struct{}), relays: make(chan func(), maxQueuedKeys), openIDs: make(chan struct{}, 1), results: make(chan keyResult, maxQueuedKeys)}
 	defer func() {
 		if u.predecessor == nil {
 			close(u.predecessorEnded)
@@ -155,6 +156,7 @@
 	if watchCtx.Err() != nil {
 		return
 	}
+	u.endIDPeers()
 	u.redivide(false, (*handover.Division).PredecessorEnded)
 	slog.Info("the process before this one has ended", "part", u.share())
 	for _, r := range u.sidecar.currentServices() {
@@ -226,6 +228,38 @@
 	return u.offerer.CatchUp()
 }
 
+// AnnounceOpenIDs has the ids of open requests published again by relayAll.
+func (p processes) AnnounceOpenIDs() {
+	select {
+	case p.upgrade.openIDs <- struct{}{}:
+	default: // it is to happen already
+	}
+}
+
+// publishOpenIDs publishes the ids of open requests again.
+func (u *upgrade) publishOpenIDs() {
+	if !u.hasPeer() {
+		return
+	}
+	for _, hash := range u.sidecar.core.OpenIDs() {
+		if err := (processes{u}).PublishID(hash); err != nil {
+			return // the peer is lost; requests that it may have sent are refused
+		}
+	}
+}
+
+// endIDPeers has the ids of other processes count as those of ended requests, if none is left.
+func (u *upgrade) endIDPeers() {
+	if !u.hasPeer() {
+		u.sidecar.core.EndIDPeers()
+	}
+}
+
+// hasPeer reports whether there is a process before or after this one.
+func (u *upgrade) hasPeer() bool {
+	return u.hasPredecessor() || u.offerer != nil && u.offerer.HasSuccessor()
+}
+
 // hasPredecessor reports whether there is a predecessor that may still send messages.
 func (u *upgrade) hasPredecessor() bool {
 	select {
@@ -301,7 +335,8 @@
 	}
 }
 
-// relayAll sends each peer process the keys and ids received from the other, until ctx ends.
+// relayAll sends each peer process the keys and ids received from the other, and announces open ids,
+// until ctx ends.
 func (u *upgrade) relayAll(ctx context.Context) {
 	for {
 		select {
@@ -309,6 +344,8 @@
 			return
 		case send := <-u.relays:
 			send()
+		case <-u.openIDs:
+			u.publishOpenIDs()
 		}
 	}
 }
@@ -392,6 +429,7 @@
 // SuccessorEnded is called when the successor has ended: this process serves alone again.
 func (u *upgrade) SuccessorEnded() {
 	u.sidecar.front.ResumeAccepting()
+	u.endIDPeers()
 	if s := u.sidecar.membership; s != nil {
 		select {
 		case <-s.yield: // not handled yet
