sidecar, wire: whether a configuration is whole does not hang on its other classes

Cause: a key below a list counted only if every entry had it, so a key that one class needs and another does not was unknown or demanded of all, by the classes of the file in force; an absent scope was read as all.

What an object must have is stated once; entries are compared by name; key_scope and dedup_window_ms are demanded of each keyed class wherever settings are read, by its own effect.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -43,8 +43,8 @@
 	// OwnProcess reports that the process, and so its memory, belongs to this sidecar alone.
 	OwnProcess bool
 
-	fileKeys jsonfile.Keys  // keys present in the file
-	Operator *operator.File // nil: no contracts, and only the platform's service
+	outline  jsonfile.Outline // keys present in the file
+	Operator *operator.File   // nil: no contracts, and only the platform's service
 }
 
 // Limits are the resource limits of the sidecar's machine.
@@ -164,7 +164,9 @@
 func ParseConfig(name string, text []byte) (Config, error) {
 	c, err := parseConfig(text)
 	if err == nil {
-		c.fileKeys = jsonfile.Read(name, text).Keys("known", "peers")
+		c.outline, err = jsonfile.ReadOutline(text, "known", "peers")
+	}
+	if err == nil {
 		return c, nil
 	}
 	if faults := configFaults(name, text); len(faults) > 0 {
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -26,13 +26,13 @@
 	if s.core.Stopping() {
 		return errStopping
 	}
-	if missing := s.config.fileKeys.Missing(c.fileKeys); len(missing) > 0 {
+	if missing := s.config.missingKeys(&c); len(missing) > 0 {
 		return fmt.Errorf("the file lacks keys that the one in force has: %s", strings.Join(missing, ", "))
 	}
 	if err := s.updateSettings(&c.Settings); err != nil {
 		return err
 	}
-	s.config.fileKeys, s.config.Discovery = c.fileKeys, c.Discovery
+	s.config.outline, s.config.Discovery = c.outline, c.Discovery
 	for _, r := range s.services {
 		if r.definition.Platform {
 			r.watcher.Redirect(c.Discovery)
@@ -42,6 +42,29 @@
 	return nil
 }
 
+// missingKeys returns the paths of required keys that the file of next is short of. A file need have
+// none that the one in force does without.
+func (c *Config) missingKeys(next *Config) []string {
+	return c.outline.Missing(next.outline, requiredKeys)
+}
+
+// requiredKeys returns the keys that each object of a kind in a configuration must have.
+func requiredKeys(kind string) []string {
+	const settings = "settings"
+	switch kind {
+	case "":
+		return []string{"name", "listen", "discovery", "seed", "limits", "peer_listen", "peers", "peers_all", "known", settings}
+	case "limits":
+		return []string{"cores", "memory_mb", "sockets"}
+	case settings:
+		return wire.RequiredKeys("")
+	}
+	if inSettings, found := strings.CutPrefix(kind, settings+"."); found {
+		return wire.RequiredKeys(inSettings)
+	}
+	return nil
+}
+
 // updateSettings applies the settings that may change.
 func (s *Sidecar) updateSettings(settings *wire.Settings) error {
 	current := &s.config.Settings
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -209,13 +209,13 @@
 type options struct {
 	Classes []struct {
 		named
-		Aim    float64 `json:"aim_ms"`
-		Limit  float64 `json:"hard_limit_ms"`
-		Effect string  `json:"effect"`
-		Scope  string  `json:"key_scope"`
-		Window float64 `json:"dedup_window_ms"`
-		Worth  float64 `json:"worth"`
-		Late   float64 `json:"late_worth"`
+		Aim    float64  `json:"aim_ms"`
+		Limit  float64  `json:"hard_limit_ms"`
+		Effect string   `json:"effect"`
+		Scope  string   `json:"key_scope"`
+		Window *float64 `json:"dedup_window_ms"` // nil: absent
+		Worth  float64  `json:"worth"`
+		Late   float64  `json:"late_worth"`
 	} `json:"classes"`
 	Tenants []struct {
 		named
@@ -257,8 +257,23 @@
 	} `json:"rules"`
 }
 
+// missingKeyedKeys returns the keys that a class lacks and needs because of its effect.
+func (o *options) missingKeyedKeys(class int) (missing []string) {
+	c := &o.Classes[class]
+	if c.Effect != keyedEffect {
+		return nil
+	}
+	if c.Scope == "" {
+		missing = append(missing, "key_scope")
+	}
+	if c.Window == nil {
+		missing = append(missing, "dedup_window_ms")
+	}
+	return missing
+}
+
 var (
-	effects = map[string]policy.Effect{"read_like": policy.Idempotent, "idempotency_key": policy.Keyed, "non_idempotent": policy.Unsafe}
+	effects = map[string]policy.Effect{"read_like": policy.Idempotent, keyedEffect: policy.Keyed, "non_idempotent": policy.Unsafe}
 	scopes  = map[string]policy.Scope{"": policy.ScopeAll, "all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
 	fields  = map[string]policy.ReportField{"rif": policy.FieldInFlight, "q": policy.FieldQueue, "rate": policy.FieldRate}
 )
@@ -293,12 +308,19 @@
 		Kinds: o.Kinds, Zones: o.Zones, Report: o.Report.Fields,
 		ConnectTimeout: fromMS(o.Limits.ConnectTimeout),
 	}
-	for _, c := range o.Classes {
+	for i, c := range o.Classes {
+		if missing := o.missingKeyedKeys(i); len(missing) > 0 {
+			return Settings{}, fmt.Errorf("options: classes[%s]: a class with the effect %s needs %s", c.Name, keyedEffect, strings.Join(missing, " and "))
+		}
+		window := 0.0
+		if c.Window != nil {
+			window = *c.Window
+		}
 		s.Classes = append(s.Classes, c.Name)
 		p.Classes = append(p.Classes, policy.Class{
 			Aim: fromMS(c.Aim), Deadline: fromMS(c.Limit),
 			Effect: lookup(effects, c.Effect), Scope: lookup(scopes, c.Scope),
-			DedupWindow: fromMS(c.Window), Worth: c.Worth, LateWorth: c.Late,
+			DedupWindow: fromMS(window), Worth: c.Worth, LateWorth: c.Late,
 		})
 	}
 	for _, t := range o.Tenants {
--- a/internal/wire/faults.go
+++ b/internal/wire/faults.go
@@ -44,6 +44,9 @@
 
 func (s *RawSettings) checkClass(f *jsonfile.File, key string, i int) {
 	c := s.Classes[i]
+	for _, name := range s.missingKeyedKeys(i) {
+		f.Fault(key+"."+name, "it is missing, and a class with the effect %s needs it (class %.60q)", keyedEffect, c.Name)
+	}
 	checkOneOf(f, key+".effect", effects, c.Effect)
 	checkOneOf(f, key+".key_scope", scopes, c.Scope)
 	if c.Limit == 0 {
@@ -51,10 +54,10 @@
 	}
 	for _, field := range []struct {
 		name string
-		ms   float64
-	}{{"aim_ms", c.Aim}, {"hard_limit_ms", c.Limit}, {"dedup_window_ms", c.Window}} {
-		if field.ms < 0 {
-			f.Fault(key+"."+field.name, "a time in milliseconds is expected, not %v", field.ms)
+		ms   *float64
+	}{{"aim_ms", &c.Aim}, {"hard_limit_ms", &c.Limit}, {"dedup_window_ms", c.Window}} {
+		if field.ms != nil && *field.ms < 0 {
+			f.Fault(key+"."+field.name, "a time in milliseconds is expected, not %v", *field.ms)
 		}
 	}
 }
