sidecar: a service of the operator's file lives under its name, and changes in place

Cause: a service whose definition differed in more than paths, weight and listed endpoints was made anew, with no keys, and without disable-server, what was learnt and its registry's list.

Attempts, second copies, time-outs and classes now change in place by the mechanism of the platform's settings, checked for all services before the first is applied.

--- a/internal/core/classes.go
+++ b/internal/core/classes.go
@@ -108,6 +108,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	settings, err := resolveSettings(s.settings.slots, s.settings.classes, set, s.figures)
+	if err == nil {
+		_, err = policy.New(settings.policy, 0) // so that Apply has nothing to refuse
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -7,15 +7,49 @@
 	"strings"
 
 	"spokegw/internal/core"
+	"spokegw/internal/operator"
 	"spokegw/internal/wire"
 )
 
-// settingsChange is a change of the platform's settings that is applied together with a table.
+// settingsChange is a change of a service's settings that is applied together with a table.
 type settingsChange struct {
 	classes []core.Class
 	update  *core.SettingsUpdate
 }
 
+// settingsChanges are those of a reload.
+type settingsChanges map[*runningService]settingsChange
+
+// apply applies the changes, which have been validated.
+func (c settingsChanges) apply() error {
+	for r, change := range c {
+		if err := change.update.Apply(); err != nil {
+			return fmt.Errorf("service %q: %w", r.definition.Name, err)
+		}
+	}
+	return nil
+}
+
+// operatorChanges prepares the changes of the settings of services that go on under an operator's
+// file.
+func (s *Sidecar) operatorChanges(f *operator.File, services []*runningService) (settingsChanges, error) {
+	changes := settingsChanges{}
+	for i, r := range services {
+		d := &f.Services[i]
+		if d.Platform || sameSettings(r.definition, *d) {
+			continue
+		}
+		var c core.ServiceConfig
+		s.describe(&c, d)
+		update, err := r.service.PrepareSettings(c.Settings)
+		if err != nil {
+			return nil, fmt.Errorf("service %q: %w", d.Name, err)
+		}
+		changes[r] = settingsChange{s.classes(d), update}
+	}
+	return changes, nil
+}
+
 // Reload applies what a new configuration may change in a running sidecar: the discovery
 // address and, of the settings, classes, tenants and the limits of requests. Address, limits,
 // kinds and zones stay as they were at the start. Open requests end under the rules that they
@@ -79,7 +113,7 @@
 			return err
 		}
 	}
-	var change *settingsChange
+	changes := settingsChanges{}
 	for _, r := range s.services {
 		if !r.definition.Platform {
 			continue
@@ -88,15 +122,15 @@
 		if err != nil {
 			return err
 		}
-		change = &settingsChange{platformClasses(&next), update}
+		changes[r] = settingsChange{platformClasses(&next), update}
 	}
-	if change == nil { // the operator's file lacks the platform's service
+	if len(changes) == 0 { // the operator's file lacks the platform's service
 		s.config.Settings = next
 		return nil
 	}
-	table, terms, err := s.buildTable(s.config.Operator, s.services, change)
+	table, terms, err := s.buildTable(s.config.Operator, s.services, changes)
 	if err == nil {
-		err = change.update.Apply()
+		err = changes.apply()
 	}
 	if err != nil {
 		return err
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -48,24 +48,27 @@
 }
 
 // existingService returns the running service that a definition can reuse; nil if there is
-// none. Its endpoints, weight, paths and methods may differ.
+// none. A service lives under its name: only another source of its endpoints makes it anew.
 func (s *Sidecar) existingService(d *operator.Service) *runningService {
 	for _, r := range s.services {
-		if d.Platform && r.definition.Platform || equivalent(r.definition, *d) {
+		if d.Platform && r.definition.Platform || !d.Platform && r.is(d) && r.definition.Registry == d.Registry {
 			return r
 		}
 	}
 	return nil
 }
 
-// equivalent reports whether two definitions differ only in what a running instance can change.
-func equivalent(a, b operator.Service) bool {
+// is reports whether the service has the name of a definition of the operator's file.
+func (r *runningService) is(d *operator.Service) bool {
+	return !r.definition.Platform && r.definition.Name == d.Name
+}
+
+// sameSettings reports whether two definitions of a service have the same settings for requests:
+// attempts, timeouts and the rules of the classes.
+func sameSettings(a, b operator.Service) bool {
 	for _, d := range []*operator.Service{&a, &b} {
 		d.ClearPositions() // positions in the file
-		if d.Registry == "" {
-			d.Endpoints = nil
-		}
-		d.Paths, d.Weight = nil, 0
+		d.Endpoints, d.Registry, d.Paths, d.Weight = nil, "", nil, 0
 		for i := range d.Classes {
 			d.Classes[i].Paths, d.Classes[i].Methods = nil, nil
 		}
@@ -255,6 +258,9 @@
 			r.service.UpdateEndpoints(r.initial, true)
 		}
 	}
+	if !d.Platform && (d.ConnectTimeout != r.definition.ConnectTimeout || d.Idle != r.definition.Idle) {
+		r.pool.SetTimeouts(d.ConnectTimeout, d.Idle)
+	}
 	if d.Weight != r.definition.Weight {
 		for _, p := range r.partitions {
 			p.SetWeight(d.Weight)
@@ -263,6 +269,19 @@
 	r.definition = d
 }
 
+// inherit adopts what a service of the same name, which this one replaces, knows: above all the keys
+// that it sent. Keys that open requests of that service send later are not adopted.
+func (r *runningService) inherit(old []*runningService) {
+	if contains(old, r) {
+		return
+	}
+	for _, previous := range old {
+		if previous.is(&r.definition) {
+			r.service.Adopt(previous.service.Snapshot(handover.MaxKeys))
+		}
+	}
+}
+
 // retire ends a service. Open requests continue and release their budgets as they end.
 func (r *runningService) retire() {
 	r.stop()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -146,9 +146,9 @@
 	return services, nil
 }
 
-// buildTable makes the core's table of services, and their contracts. change is the change of
-// the platform's settings that is applied with it; nil if there is none.
-func (s *Sidecar) buildTable(f *operator.File, services []*runningService, change *settingsChange) (*core.Table, []broker.Terms, error) {
+// buildTable makes the core's table of services, and their contracts. changes are those of the
+// services' settings that are applied with it.
+func (s *Sidecar) buildTable(f *operator.File, services []*runningService, changes settingsChanges) (*core.Table, []broker.Terms, error) {
 	var all []core.Mount
 	var terms []broker.Terms
 	for i, r := range services {
@@ -158,7 +158,7 @@
 		}
 		m := core.Mount{Service: r.service, Classes: s.classes(d)}
 		names := r.service.ClassNames()
-		if change != nil && r.definition.Platform {
+		if change, ok := changes[r]; ok {
 			m.Classes, m.Update, names = change.classes, change.update, change.update.ClassNames()
 		}
 		all = append(all, m)
@@ -281,7 +281,15 @@
 	if err != nil {
 		return err
 	}
-	table, terms, err := s.buildTable(f, services, nil)
+	changes, err := s.operatorChanges(f, services)
+	var table *core.Table
+	var terms []broker.Terms
+	if err == nil {
+		table, terms, err = s.buildTable(f, services, changes)
+	}
+	if err == nil {
+		err = changes.apply()
+	}
 	if err != nil {
 		discard(services, s.services)
 		return err
@@ -295,6 +303,7 @@
 		if s.watchCtx != nil {
 			r.start(s.watchCtx)
 		}
+		r.inherit(old)
 	}
 	s.core.SetTableAndTerms(table, terms)
 	s.bindAccounts(services)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,7 +69,7 @@
 	}
 	return &Pool{
 		dialer:        net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
-		maxIdle:       time.Duration(float64(idle) * idleFraction),
+		maxIdle:       maxIdleFor(idle),
 		reuseDelay:    reuseDelay,
 		streamTimeout: streamTimeout,
 		streamBytes:   r.StreamBytes,
@@ -102,7 +102,7 @@
 		// Endpoints close early and send unsolicited bytes, which would be taken for the
 		// answer to this request.
 		n, closed := peek.Peek(c.TCPConn)
-		if c.idleFor < p.maxIdle && n == 0 && !closed && c.r.Buffered() == 0 {
+		if c.idleFor < p.idleLimit() && n == 0 && !closed && c.r.Buffered() == 0 {
 			return c
 		}
 		if closed && n == 0 {
@@ -113,12 +113,40 @@
 	return nil
 }
 
+// SetTimeouts changes the times that NewPool was given, for further attempts.
+func (p *Pool) SetTimeouts(connectTimeout, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer.Timeout, p.maxIdle = connectTimeout, maxIdleFor(idle)
+}
+
+// maxIdleFor returns for how long a connection is used to an endpoint that closes it when it has been
+// idle for a time.
+func maxIdleFor(idle time.Duration) time.Duration {
+	return time.Duration(float64(idle) * idleFraction)
+}
+
+// currentDialer returns the dialer with the connect timeout in force.
+func (p *Pool) currentDialer() net.Dialer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialer
+}
+
+// idleLimit returns for how long connections are used.
+func (p *Pool) idleLimit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.maxIdle
+}
+
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, e Endpoint) (*conn, error) {
 	if err := p.reserve(ctx); err != nil {
 		return nil, err
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", e.Addr)
+	dialer := p.currentDialer()
+	nc, err := dialer.DialContext(ctx, "tcp", e.Addr)
 	if err != nil {
 		p.slots.Release(1)
 		return nil, err
@@ -144,7 +172,7 @@
 	if p.slots.TryAcquire(1) {
 		return nil
 	}
-	wait := time.NewTimer(p.dialer.Timeout)
+	wait := time.NewTimer(p.currentDialer().Timeout)
 	defer wait.Stop()
 	for {
 		freed := p.slots.Freed() // before the attempt, so that no release in between is missed
