--- a/bench/knownred/main.go
+++ b/bench/knownred/main.go
@@ -67,6 +67,7 @@
 	passed         []testID
 	failedPackages []string // packages that failed without a failing test
 	packagesEnded  int      // number of packages
+	running        []string // packages whose tests have started and not ended
 	buildFailed    bool     // a package could not be built
 }
 
@@ -99,6 +100,8 @@
 		io.WriteString(out, e.Output)
 	case e.Action == "build-fail":
 		r.buildFailed = true
+	case e.Action == "start":
+		r.running = append(r.running, e.Package)
 	case e.Action == "output" && e.Test == "":
 		io.WriteString(out, e.Output)
 	case e.Action == "output":
@@ -120,6 +123,7 @@
 // handlePackageEnd records the end of a package. One that fails without a failing test
 // panicked, timed out or could not be built.
 func (r *results) handlePackageEnd(e testEvent) {
+	r.running = slices.DeleteFunc(r.running, func(name string) bool { return name == e.Package })
 	switch e.Action {
 	case "fail":
 		r.packagesEnded++
@@ -135,6 +139,10 @@
 // evaluate prints the outcome and reports whether all failures are known.
 func (r *results) evaluate(list []knownFailure, out io.Writer) bool {
 	ok := !r.buildFailed && len(r.failedPackages) == 0 && r.packagesEnded > 0
+	for _, name := range r.running { // the run was cut off
+		ok = false
+		fmt.Fprintf(out, "%s did not end\n", name)
+	}
 	for _, name := range r.failedPackages {
 		fmt.Fprintf(out, "%s failed outside its tests\n", name)
 	}
--- a/bench/knownred/main_test.go
+++ b/bench/knownred/main_test.go
@@ -33,6 +33,8 @@
 		"known in another package": {"q TestA | c | x | issue 1\n", failA + failP, false, "FAILED: p TestA"},
 		"package panics":           {listA, startA + failP, false, "p failed outside its tests"},
 		"test does not end":        {"", passP + startA, false, "p TestA did not end"},
+		"run is cut off":           {"", passA + passP + `{"Action":"start","Package":"q"}` + "\n", false, "q did not end"},
+		"package has no tests":     {"", passA + passP + `{"Action":"start","Package":"q"}` + "\n" + `{"Action":"skip","Package":"q"}` + "\n", true, ""},
 		"build fails":              {"", passP + `{"ImportPath":"q","Action":"build-output","Output":"q.go:1: bad\n"}` + "\n" + `{"ImportPath":"q","Action":"build-fail"}` + "\n", false, "q.go:1: bad"},
 		"nothing ran":              {"", "", false, ""},
 		"comment in the list":      {"# fix these first\n" + listA, failA + failP, true, ""},
