fleet/sites: a returning site of few endpoints does not stay at a tenth of its traffic

What callers saw: a site that was lost and serves again gets no request from the other sites for good; what it could carry is refused.

Cause: at a fraction p a gateway sends to the endpoints whose hash with its name is below p. Four gateways and three endpoints make twelve such numbers: none is below 0.1 in 28 of 100 cases. The probes of a lost site ended at 0.1. With no attempt there is no evidence, and without evidence the fraction stays.

Change: a gateway that would send to no endpoint of a site with reduced traffic probes in its turns, whatever the fraction. Gateways that send to some do not.

--- a/internal/fleet/sites/enforcer.go
+++ b/internal/fleet/sites/enforcer.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// probers is how many gateways go on sending to a lost site, each to some of its endpoints,
-	// so that its return is noticed: independent of the size of a large fleet. Of a small one it
-	// is a fraction, and at least minProbers.
+	// probers is how many gateways probe a lost or returning site, each some of its endpoints, so
+	// that its return is noticed and goes on: independent of the size of a large fleet. Of a small
+	// one it is a fraction, and at least minProbers.
 	probers         = 8
 	minProbers      = 2
 	probersFraction = 0.25
@@ -33,7 +33,7 @@
 	plan        Plan
 	fractions   map[uint32]float64 // of sites that do not get all traffic; no more than there are sites
 	lastApplied time.Duration
-	probed      map[uint64]bool // endpoints of lost sites that are probed now
+	probed      map[uint64]bool // endpoints that are probed now, of sites with no endpoint selected by its fraction
 }
 
 // Endpoint is a listed endpoint that takes new requests.
@@ -79,36 +79,48 @@
 	e.probe(endpoints)
 }
 
-// probe sets which endpoints of lost sites are probed. A gateway probes once per cycle, other
-// endpoints each time and at least one. Gateways start at different turns, derived from their
-// names, but none goes without a probe for longer than probeCycle. So the return of a site with
-// few endpoints is noticed, in a small fleet too.
+// probe sets which endpoints are probed: of sites that get less than all traffic, if this gateway
+// would send to none of their endpoints, as is common for a site with few. A gateway probes once
+// per cycle, other endpoints each time and at least one. Gateways start at different turns, derived
+// from their names, but none goes without a probe for longer than probeCycle. So there is always
+// evidence about a site, in a small fleet too, without which its state would never change.
 func (e *Enforcer) probe(endpoints []Endpoint) {
 	e.probed = map[uint64]bool{}
 	for site, fraction := range e.fractions {
-		if fraction >= initialFraction {
-			continue
-		}
-		cycle := probeCycle(e.members)
-		turn := uint64(e.lastApplied/probeInterval) + mixHash(e.name, uint64(site), 0)%uint64(cycle)
-		if turn%uint64(cycle) != 0 {
-			continue
-		}
 		var ids []uint64
-		for _, e := range endpoints {
-			if Hash(e.Site) == site {
-				ids = append(ids, e.ID)
+		selected := false
+		for _, endpoint := range endpoints {
+			if Hash(endpoint.Site) == site {
+				ids = append(ids, endpoint.ID)
+				selected = selected || e.selects(endpoint.ID, fraction)
 			}
 		}
-		slices.Sort(ids)
-		step := uint64(max(1, min(probesForAll, len(ids))))
-		first := (turn/uint64(cycle) + mixHash(e.name, uint64(site), 1)) % step
-		for i := first; i < uint64(len(ids)); i += step {
-			e.probed[ids[i]] = true
+		if !selected {
+			e.probeSite(site, ids)
 		}
 	}
 }
 
+// probeSite adds the endpoints of a site that are probed in this turn, if it is this gateway's.
+func (e *Enforcer) probeSite(site uint32, ids []uint64) {
+	cycle := uint64(probeCycle(e.members))
+	turn := uint64(e.lastApplied/probeInterval) + mixHash(e.name, uint64(site), 0)%cycle
+	if turn%cycle != 0 {
+		return
+	}
+	slices.Sort(ids)
+	step := uint64(max(1, min(probesForAll, len(ids))))
+	first := (turn/cycle + mixHash(e.name, uint64(site), 1)) % step
+	for i := first; i < uint64(len(ids)); i += step {
+		e.probed[ids[i]] = true
+	}
+}
+
+// selects reports whether this gateway is in the fraction of the fleet that sends to an endpoint.
+func (e *Enforcer) selects(endpoint uint64, fraction float64) bool {
+	return hashFraction(e.name, endpoint, 0) < fraction
+}
+
 // probeCycle returns the number of turns between two probes of a gateway, by the size of the
 // fleet.
 func probeCycle(members int) int {
@@ -142,16 +154,13 @@
 
 // RoutesTo reports whether this gateway sends first attempts to an endpoint of a site. Of a
 // returning site each gateway sends to a fraction of the endpoints, and each endpoint receives
-// from the same fraction of the gateways.
+// from the same fraction of the gateways; and some gateways probe.
 func (e *Enforcer) RoutesTo(site string, endpoint uint64) bool {
 	fraction, reduced := e.fractions[Hash(site)]
 	if !reduced {
 		return true
 	}
-	if fraction > 0 && hashFraction(e.name, endpoint, 0) < fraction {
-		return true
-	}
-	return fraction < initialFraction && e.probed[endpoint]
+	return e.selects(endpoint, fraction) || e.probed[endpoint]
 }
 
 // Factor returns the factor for the weights of a site's endpoints.
