trial: configurations that change or are broken, hidden requests and ids of open requests

bench/trial has -reloads (empty, cut off, short of a key, a limit of 0; whole files with another class) and -misbehaving (17 forms of a request that hides another, on new and kept connections; the id of an open request, once behind 9,600 others). The judge takes as lost: a hidden request that runs, a request whose end is in doubt that is served or gets neither an error nor a close, the id of an open request that is served, a new class that is unknown 1.2 s after SIGHUP. TestReloadsAndMisbehavingClients plays both over processes.

--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -28,7 +28,7 @@
 // Tests by group. In the groups of namedByTest the property is the name of a test.
 const (
 	weightTests = "Test(CountedOnce|TornTable|FactorsMoveInSteps|AnswersNotUsed|LittleLoad|ChangeIsFollowed|LyingGateway|Assigned)"
-	siteTests   = "Test(NoLoss|NoLossByFewObservers|Loss|Return|UnusualReturns|FalseLosses|Spread|Admit|Enforcers|EveryGatewayProbes|EnforcerRisesInSteps|PlanForLoss)"
+	siteTests   = "Test(NoLoss|NoLossByFewObservers|Loss|Return|ReturnOfSmallSiteDoesNotStop|ReturnWithFewAttempts|UnusualReturns|FalseLosses|Spread|Admit|Enforcers|EveryGatewayProbes|EnforcerRisesInSteps|PlanForLoss)"
 
 	permitTests  = "Test(AttemptCheck|CloseCheck|CallCheck|ViolatedRule)"
 	gateTests    = "Test(GateCheckedBeforeFirstByte|CancelledWhileDialling)"
@@ -45,6 +45,9 @@
 	trialJudgeTests   = "Test(DroppedByTheNextProcess|CutOffByAKill|DroppedByAProcessThatEnds|RefusedBeforeAKill|HeldRequestEndsWithItsProcess|ToldBeforeDiscoveryIsDown|HeldUp)"
 	trialOutcomeTests = "TestOutcome"
 
+	// Tests of configurations that change and clients that misbehave, over processes.
+	reloadProcessTests = "TestReloadsAndMisbehavingClients"
+
 	// Tests of a stop: of its schedule, of core, of the HTTP/1.1 front, and over processes on both paths.
 	scheduleTests    = "Test(ScheduleEndsBeforeTheKill|LimitOfDeadlines|AcceptUntilOfLateSuccessorEnd|RequestedAtIsTheSignalsTime)"
 	stopTests        = "Test(StopAnswers.*|RequestRead.*|HangingPeer.*|SecondStop.*)"
@@ -92,7 +95,7 @@
 // namedByTest lists the groups whose properties are names of failing tests.
 var namedByTest = []string{
 	weightTests, siteTests, permitTests, gateTests, drainTests, clockTests, renewalTests, watchTests, slowStartTests,
-	scheduleTests, stopTests, stopFrontTests, stopProcessTests, disconnectTests, interruptTests, uploadTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests,
+	scheduleTests, stopTests, stopFrontTests, stopProcessTests, disconnectTests, interruptTests, uploadTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests, reloadProcessTests,
 }
 
 var mutants = []mutant{
@@ -179,6 +182,8 @@
 	{"internal/fleet/weights/estimate.go", "math.Max(utilisation(inFlight, m), 1e-6)", "math.Max(utilisation(inFlight, m), 1)", weightTests, "TestLittleLoad"},
 	{"internal/fleet/weights/estimate.go", "		k.variance = changeDeviation * changeDeviation\n", "", weightTests, "TestChangeIsFollowed"},
 	{"internal/fleet/weights/estimate.go", "if len(k.byGateway) >= 3 {", "if len(k.byGateway) >= 300 {", weightTests, "TestLyingGateway"},
+	{"internal/fleet/sites/enforcer.go", "		if !selected {\n", "		if fraction < initialFraction {\n", siteTests, "TestReturnOfSmallSiteDoesNotStop"},
+	{"internal/fleet/sites/sites.go", "	case s.undecided.total() >= minAttempts:\n", "	case false:\n", siteTests, "TestReturnWithFewAttempts"},
 	{"internal/fleet/sites/sites.go", "a.gone >= minObservers && ", "", siteTests, "TestNoLossByFewObservers"},
 	{"internal/fleet/sites/sites.go", "2*a.gone > a.observers && ", "", siteTests, "TestNoLossByFewObservers"},
 	{"internal/fleet/sites/sites.go", "float64(a.dead) >= deadFraction*float64(a.tried) && ", "", siteTests, "TestFalseLosses"},
@@ -189,8 +194,8 @@
 	{"internal/fleet/sites/sites.go", "s.fraction = max(initialFraction, s.fraction/2)", "s.fraction = max(initialFraction, s.fraction)", siteTests, "TestUnusualReturns"},
 	{"internal/fleet/sites/sites.go", "max(1.5*s.fraction, s.fraction+minFractionStep)", "1", siteTests, "TestUnusualReturns"},
 	{"internal/fleet/sites/enforcer.go", "math.Min(target, current+maxRise)", "math.Min(target, current+maxRise+1)", siteTests, "TestEnforcerRisesInSteps"},
-	{"internal/fleet/sites/enforcer.go", "if turn%uint64(cycle) != 0 {", "if len(endpoints) > 1<<20 {", siteTests, "TestEveryGatewayProbes"},
-	{"internal/fleet/sites/enforcer.go", "first := (turn/uint64(cycle) + ", "first := (0*turn + ", siteTests, "TestEveryGatewayProbes"},
+	{"internal/fleet/sites/enforcer.go", "if turn%cycle != 0 {", "if len(ids) > 1<<20 {", siteTests, "TestEveryGatewayProbes"},
+	{"internal/fleet/sites/enforcer.go", "first := (turn/cycle + ", "first := (0*turn + ", siteTests, "TestEveryGatewayProbes"},
 	{"internal/fleet/sites/spread.go", "	capacity -= floor * sum\n", "", siteTests, "TestAdmit"},
 	{"internal/fleet/sites/spread.go", "			amount = math.Min(amount, placed[v][previous[v]-n])\n", "", siteTests, "TestSpread"},
 	{"internal/fleet/sites/plan.go", "return p.settings.Utilisation * s.Capacity * p.detector.Fraction(s.Name)", "return s.Capacity * p.detector.Fraction(s.Name)", siteTests, "TestPlanForLoss"},
@@ -292,6 +297,10 @@
 	{"internal/front/http1/plain.go", "			p.refuseIncompleteHead(err)\n", "", stopFrontTests, "TestIncompleteRequestIsAnsweredAtStop"},
 	{"internal/front/http1/conns.go", "			c.refuseIncompleteHead(err)\n", "", stopFrontTests, "TestIncompleteLaterRequestIsAnsweredAtStop"},
 	{"internal/lab/trial/client.go", "reused && took > crossesAtMost+c.play.judge.slack()", "false", trialJudgeTests, "TestHeldRequestEndsWithItsProcess"},
+	{"internal/framing/framing.go", "h.Chunked && !hasTransferCodings(head)", "false", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
+	{"internal/core/ids.go", "	s.open[h] = struct{}{}\n	return", "	s.ended.add(h)\n	return", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
+	{"internal/wire/codec.go", "	if c.Effect != keyedEffect {\n		return nil", "	if true {\n		return nil", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
+	{"internal/wire/keys.go", "\"classes[]\": {\"aim_ms\", ", "\"classes[]\": {\"aim_ms\", \"dedup_window_ms\", \"key_scope\", ", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
 	{"bench/trial/main.go", "return !v.HeldUp }", "return false }", trialOutcomeTests, "TestOutcome"},
 }
 
@@ -352,7 +361,7 @@
 	switch m.tests {
 	case leaseTests:
 		return "internal/fleet/quota"
-	case killTests, stopProcessTests:
+	case killTests, stopProcessTests, reloadProcessTests:
 		return "cmd/spokegw"
 	case stopFrontTests, uploadTests:
 		return "internal/front/http1"
--- a/bench/trial/main.go
+++ b/bench/trial/main.go
@@ -34,6 +34,8 @@
 	stops := flag.String("stops", "", "play only planned stops, of which some meet endpoints that hang: restarts, upgrades or both")
 	uploaders := flag.Int("uploads", 0, "number of processes with a client that sends long bodies, while endpoints hang, read slowly or reset in the middle of them")
 	readers := flag.Int("answers", 0, "number of processes with a client that asks for answers which are written slowly, among crowds of slow clients and endpoints replaced at their addresses")
+	misbehaving := flag.Int("misbehaving", 0, "number of processes with a client that hides requests in others and sends the ids of open ones")
+	reloads := flag.Bool("reloads", false, "configurations change at SIGHUP, and some are broken")
 	shrinkRuns := flag.Int("shrink", 0, "maximum number of runs to shrink a seed that broke a rule to a smaller variant that still breaks it")
 	flag.Parse()
 	faults, err := parseFaults(*only)
@@ -41,7 +43,7 @@
 		fmt.Fprintln(os.Stderr, "trial:", err)
 		os.Exit(2)
 	}
-	c := trial.Config{Only: faults, Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: *clients, Grace: time.Second, Lasts: *duration, Seed: *first, Stops: stopKinds[*stops], Uploaders: *uploaders, Readers: *readers}
+	c := trial.Config{Only: faults, Program: *program, Sidecars: *sidecars, Endpoints: 8, Clients: *clients, Grace: time.Second, Lasts: *duration, Seed: *first, Stops: stopKinds[*stops], Uploaders: *uploaders, Readers: *readers, Misbehaving: *misbehaving, Reloads: *reloads}
 	if _, known := stopKinds[*stops]; !known {
 		fmt.Fprintln(os.Stderr, "trial: -stops is restarts, upgrades or both")
 		os.Exit(2)
--- a/internal/lab/trial/faults.go
+++ b/internal/lab/trial/faults.go
@@ -83,6 +83,9 @@
 	if p.Readers > 0 && p.Stops == 0 {
 		faults = slices.Concat(faults, slowFaults)
 	}
+	if p.Reloads && p.Stops == 0 {
+		faults = slices.Concat(faults, reloadFaults)
+	}
 	for _, f := range faults {
 		total += f.often
 	}
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -46,7 +45,10 @@
 	// Readers is how many sidecars have a client that asks for answers which their endpoints write slowly, and
 	// which it reads slowly at times; crowds of slow clients come then, and processes at the addresses of others.
 	Readers int
-	Only    []int // numbers of the faults of a random course that are played; nil: all are
+	// Misbehaving is how many sidecars have a client that hides requests in others, and sends the ids of open ones.
+	Misbehaving int
+	Reloads     bool  // configurations change, and some are broken
+	Only        []int // numbers of the faults of a random course that are played; nil: all are
 }
 
 // Scene is a course in which open watches fall silent, one endpoint begins to drain 0.2 s
@@ -123,6 +125,9 @@
 	for i := range min(c.Readers, c.Sidecars) {
 		clients.Go(func() { p.newReader(i).run(playing) })
 	}
+	for i := range min(c.Misbehaving, c.Sidecars) {
+		clients.Go(func() { p.newMisbehaving(i).run(playing) })
+	}
 	if c.Uploaders > 0 {
 		clients.Go(func() { p.treatBodies(playing) })
 	}
@@ -326,17 +331,13 @@
 	}
 	var cs []scene.Class
 	for _, k := range s.classes() {
-		cs = append(cs, scene.Class{"name": k.name, "effect": effects[k.effect], "key_scope": "cell", "dedup_window_ms": k.window.Milliseconds(),
-			"worth": 1, "late_worth": 0.5, "aim_ms": k.deadline.Milliseconds() / 2, "hard_limit_ms": k.deadline.Milliseconds()})
+		cs = append(cs, k.definition())
 	}
 	text := scene.Configuration(scene.Platform{
 		Name: s.name, Listen: s.listen, Registry: registry, Listed: known, FleetSize: s.FleetSize, Asked: s.Asked, Grace: s.Grace,
 		ConnectTimeout: time.Second, SecondCopies: true, Classes: cs, Sockets: 256, MemoryMB: memoryMB, Cold: cold,
 	})
-	if err := os.WriteFile(s.config+".new", text, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(s.config+".new", s.config)
+	return s.writeConfiguration(text)
 }
 
 const readyWithin = 10 * time.Second
