sidecar: a process without a socket for a successor announces its open ids, too

Seen by reading, and shown by the test: where a process can't open its socket for a successor (its path is no socket), nothing sent its open ids again, and its predecessor served the id of a request that is open at the new process behind 8,192 others.

The goroutine that relays and announces now runs wherever there is a process before or after. TestOpenIDIsKnownToPredecessorWithoutSuccessorSocket failed before; 10 of 10 with -race now.

--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -46,3 +46,13 @@
 
 // Disconnect closes the connection to the predecessor, as the end of the process would.
 func (s *Sidecar) Disconnect() { s.upgrade.predecessor.Close() }
+
+// OpenIDs returns the hashes of the ids of open requests, KnownIDs those of all ids that are refused.
+func (s *Sidecar) OpenIDs() []uint64 { return s.core.OpenIDs() }
+func (s *Sidecar) KnownIDs() []uint64 {
+	_, hashes := s.core.RecentIDs()
+	return hashes
+}
+
+// AdoptID records an id as one that another process has published.
+func (s *Sidecar) AdoptID(hash uint64) { s.core.AdoptID(hash) }
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -115,10 +115,11 @@
 		if err := u.offerer.Offer(watchCtx, goroutines); err != nil {
 			slog.Warn("no further process can take over from this one", "error", err)
 			u.offerer = nil
-		} else {
-			goroutines.Go(func() { u.relayAll(watchCtx) })
 		}
 	}
+	if u.offerer != nil || u.predecessor != nil {
+		goroutines.Go(func() { u.relayAll(watchCtx) })
+	}
 	if u.predecessor != nil {
 		goroutines.Go(func() { u.follow(watchCtx) })
 		goroutines.Go(func() { u.confirmKeys(watchCtx) })
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"spokegw/internal/handover"
 	"spokegw/internal/lab"
 	"spokegw/internal/lab/process"
 	"spokegw/internal/lab/scene"
@@ -353,3 +356,43 @@
 	u.send("again-", u.toNext)
 	u.checkSameCell()
 }
+
+// Guards against the id of an open request that its predecessor forgets, as a process that can't open
+// its socket for a successor did not announce it again.
+func TestOpenIDIsKnownToPredecessorWithoutSuccessorSocket(t *testing.T) {
+	const rounds, idsOfRound = 8, 2048
+	folder, addr := t.TempDir(), reserveAddr(t)
+	r := &reports{cells: map[string][]int{}, arrived: make(chan string, 1)}
+	c := scene.Config{Listen: addr, Folder: folder, Maps: r.endpoints(), Aim: 9 * time.Second, Deadline: 9 * time.Second}
+	old := startReady(t, c)
+	c.Maps, c.Beside = nil, old
+	c.Made = func() { // it has connected to the old process; its own socket can't take the path
+		path := handover.Path(folder, addr)
+		os.Remove(path)
+		if err := os.WriteFile(path, nil, 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	next := startReady(t, c)
+	for _, e := range old.Maps {
+		e.Silence()
+		t.Cleanup(e.Speak)
+	}
+	sendReport(t, connect(t, next.Addr()), "open", "key")
+	<-r.arrived
+	open := next.Sidecar.OpenIDs()
+	if len(open) != 1 {
+		t.Fatalf("%d requests are open at the new process, want 1", len(open))
+	}
+	for round := range rounds {
+		for i := range idsOfRound {
+			old.Sidecar.AdoptID(uint64(1 + round*idsOfRound + i))
+			next.Sidecar.AdoptID(uint64(1 + round*idsOfRound + i))
+		}
+		for until := time.Now().Add(5 * time.Second); !slices.Contains(old.Sidecar.KnownIDs(), open[0]); <-time.After(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatalf("after %d ids the old process does not know the id of a request that is open at the new one", (round+1)*idsOfRound)
+			}
+		}
+	}
+}
