sidecar: a rejected file is counted by its reason and shown until one is accepted

Need: that a file was turned down at SIGHUP stood in the log and in one count alone. Whoever looked at a sidecar later could not tell that it still runs on an older file, nor why.

Why a file is rejected is now a typed reason: unreadable, malformed, incomplete, invalid. spokegw_config_rejections_total counts by it, and spokegw rejected shows the file, since when and each fault, over the operators' socket, until a whole one comes. Missing keys are one error type wherever they are found.

--- a/cmd/spokegw/console.go
+++ b/cmd/spokegw/console.go
@@ -27,8 +27,9 @@
 	teams := c.newCommand(&cobra.Command{Use: "teams", Short: "how every team stands with each service",
 		Long: "How every team stands with each service: attempts beyond the first that it may make (RETRIES), the work that it is ahead of its share, and by call how far it is ahead of its rate. A burst is spent where AHEAD is as long as it takes at the rate."}, nil, c.teams)
 	reload := c.newCommand(&cobra.Command{Use: "reload", Short: "read the files again, as on SIGHUP, and tell the faults or what changes"}, nil, c.reload)
+	rejected := c.newCommand(&cobra.Command{Use: "rejected", Short: "files that were turned down, until a whole one comes, and why"}, nil, c.rejected)
 	diff := c.newCommand(&cobra.Command{Use: "diff", Short: "tell what an operator's file would change, and do nothing", Example: "  spokegw diff next.toml"}, []string{"FILE"}, c.diff)
-	all := []*cobra.Command{members, teams, reload, diff, c.explainCommand(), c.traceCommand(), c.logCommand()}
+	all := []*cobra.Command{members, teams, reload, rejected, diff, c.explainCommand(), c.traceCommand(), c.logCommand()}
 	for _, cmd := range all {
 		c.addConnectionFlags(cmd, true)
 	}
@@ -118,6 +119,15 @@
 	})
 }
 
+func (c *cli) rejected(cmd *cobra.Command, _ []string) error {
+	return printRows(c, cmd.Context(), "rejected", nil, "", func(w io.Writer, r *sidecar.RejectedFile) {
+		fmt.Fprintf(w, "%s: %s since %s\n", r.File, r.Reason, r.At.Format(time.RFC3339))
+		for _, f := range r.Faults {
+			fmt.Fprintf(w, "  %s\n", f)
+		}
+	})
+}
+
 func (c *cli) diff(cmd *cobra.Command, args []string) error {
 	text, err := os.ReadFile(args[0])
 	if err != nil {
--- a/cmd/spokegw/main_test.go
+++ b/cmd/spokegw/main_test.go
@@ -226,6 +226,13 @@
 	all(newCLI(io.Discard, io.Discard))
 }
 
+func writeFile(t *testing.T, path string, text []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // The commands that connect to a running sidecar or read its state files.
 func TestOperatorCommands(t *testing.T) {
 	s, folder := newStateFixture(t)
@@ -250,6 +257,18 @@
 	run(0, "diff "+s.operator, "nothing changes")
 	run(1, "diff "+bad, bad+":5: team[0].share")
 	run(0, "reload", "taken over")
+	whole, err := os.ReadFile(s.operator)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, s.operator, append(slices.Clone(whole), "\nshare = 'much'\n"...))
+	run(1, "reload")
+	run(0, "rejected", "operator's file: invalid since", s.operator)
+	writeFile(t, s.operator, whole)
+	run(0, "reload", "taken over")
+	if text := run(0, "rejected"); text != "" {
+		t.Errorf("after a whole file these are shown as rejected: %s", text)
+	}
 	run(0, "disable maps-0", "disable maps-0: done")
 	run(0, "members", "disabled")
 	run(1, "disable maps-7", "maps-7")
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -99,6 +99,8 @@
 
 	StalledAnswers atomic.Uint64 // attempts whose answer began and paused
 
+	Rejections [NumRejections]atomic.Uint64 // files rejected at SIGHUP, by reason
+
 	Disconnects [NumDisconnects]atomic.Uint64 // requests that ended without an answer, by evidence
 
 	mu      sync.Mutex
--- a/internal/jsonfile/keys.go
+++ b/internal/jsonfile/keys.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // Outline is which keys the objects of a JSON file have. A key whose value is null counts as absent.
@@ -21,6 +22,11 @@
 	keys    map[string]bool
 }
 
+// MissingKeysError tells the keys that a file is short of.
+type MissingKeysError struct{ Keys []string }
+
+func (e *MissingKeysError) Error() string { return strings.Join(e.Keys, ", ") }
+
 // RequiredKeys returns the keys that each object of a kind must have. The kind is the object's path
 // with [] for any entry of a list; "" is the file itself.
 type RequiredKeys func(kind string) []string
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -54,6 +54,7 @@
 	fleetMet     = prometheus.NewDesc("spokegw_fleet_site_met", "Part of a site's endpoints that this gateway meets.", []string{"site"}, nil)
 	fleetLost    = prometheus.NewDesc("spokegw_fleet_messages_unused_total", "Messages of the fleet that were not used, by reason.", []string{"reason"}, nil)
 	reloadErrors = prometheus.NewDesc("spokegw_config_reload_errors_total", "Files turned down at SIGHUP.", nil, nil)
+	rejections   = prometheus.NewDesc("spokegw_config_rejections_total", "Files turned down at SIGHUP, by reason.", []string{"reason"}, nil)
 )
 
 // Fleet are the figures of a fleet.
@@ -96,7 +97,7 @@
 }
 
 func (c *collector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, stalled, members, unavailable, notSent, violations, stopRequests, disconnects, listAge, calls, reloads, reloadErrors, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
+	for _, d := range []*prometheus.Desc{requests, taken, pending, attempts, stalled, members, unavailable, notSent, violations, stopRequests, disconnects, listAge, calls, reloads, reloadErrors, rejections, fleetUp, fleetQuota, fleetDuty, fleetAge, fleetWeights, fleetChanges, fleetSite, fleetMet, fleetLost} {
 		descs <- d
 	}
 }
@@ -119,6 +120,9 @@
 	count(stalled, c.figures.StalledAnswers.Load())
 	count(reloads, c.figures.Reloads.Load())
 	count(reloadErrors, c.figures.ReloadErrors.Load())
+	for reason := range figures.NumRejections {
+		count(rejections, c.figures.Rejections[reason].Load(), reason.String())
+	}
 	m := c.members()
 	gauge(members, float64(m.Listed))
 	gauge(unavailable, float64(m.Unavailable))
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -87,7 +87,7 @@
 		missing = append(missing, fault.Fault{File: path, Key: "discovery", Text: "the registry's address is expected here or in NODE_DISCOVERY"})
 	}
 	if len(missing) > 0 {
-		return Config{}, missing
+		return Config{}, &parseError{missing, &jsonfile.MissingKeysError{Keys: []string{"listen or discovery"}}}
 	}
 	return c, nil
 }
@@ -170,7 +170,7 @@
 		return c, nil
 	}
 	if faults := configFaults(name, text); len(faults) > 0 {
-		return c, faults
+		return c, &parseError{faults, err}
 	}
 	return c, fmt.Errorf("%s: %w", name, err)
 }
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -76,6 +76,7 @@
 	return map[string]console.Call{
 		"members": s.handleMembers, "teams": s.handleTeams, "explain": s.handleExplain,
 		"trace": s.handleTrace, "reload": s.handleReload, "diff": s.handleDiff, "log": s.handleLog,
+		"rejected": s.handleRejected,
 	}
 }
 
@@ -287,11 +288,7 @@
 	if err == nil {
 		err = s.Reload(c)
 	}
-	s.CountReload(err)
-	if err != nil {
-		slog.Error("the new configuration is not used", "error", err)
-		r.Faults = faultTexts(err)
-	}
+	r.Faults = s.recordReload(ConfigurationFile, err)
 	if file == nil {
 		return r
 	}
@@ -302,10 +299,8 @@
 	if err == nil {
 		err = s.ReloadOperator(f)
 	}
-	s.CountReload(err)
-	if err != nil {
-		slog.Error("the new operator's file is not used", "error", err)
-		r.Faults = append(r.Faults, faultTexts(err)...)
+	if faults := s.recordReload(OperatorsFile, err); err != nil {
+		r.Faults = append(r.Faults, faults...)
 		return r
 	}
 	r.Changes = operator.Diff(old, f)
--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
+	"spokegw/internal/figures"
 	"spokegw/internal/overload"
 )
 
@@ -56,3 +58,17 @@
 
 // AdoptID records an id as one that another process has published.
 func (s *Sidecar) AdoptID(hash uint64) { s.core.AdoptID(hash) }
+
+// Rejections returns how many files were rejected for a reason.
+func (s *Sidecar) Rejections(reason figures.Rejection) uint64 {
+	return s.figures.Rejections[reason].Load()
+}
+
+// Rejected returns the rejected files, as the console sends them.
+func (s *Sidecar) Rejected() (all []*RejectedFile) {
+	s.handleRejected(context.Background(), nil, func(v any) error {
+		all = append(all, v.(*RejectedFile))
+		return nil
+	})
+	return all
+}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"spokegw/internal/core"
+	"spokegw/internal/jsonfile"
 	"spokegw/internal/operator"
 	"spokegw/internal/wire"
 )
@@ -61,7 +62,7 @@
 		return errStopping
 	}
 	if missing := s.config.missingKeys(&c); len(missing) > 0 {
-		return fmt.Errorf("the file lacks keys that the one in force has: %s", strings.Join(missing, ", "))
+		return fmt.Errorf("the file lacks keys that the one in force has: %w", &jsonfile.MissingKeysError{Keys: missing})
 	}
 	if err := s.updateSettings(&c.Settings); err != nil {
 		return err
@@ -143,12 +144,3 @@
 	s.config.Settings = next
 	return nil
 }
-
-// CountReload counts a reload of a file, by whether it was accepted.
-func (s *Sidecar) CountReload(err error) {
-	if err != nil {
-		s.figures.ReloadErrors.Add(1)
-	} else {
-		s.figures.Reloads.Add(1)
-	}
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -61,12 +61,13 @@
 	services []*runningService // in the order of the operator's file
 	retired  []*runningService // with open requests
 	watchCtx context.Context
-	schedule shutdown.Schedule // of the stop; zero: none was requested
+	schedule shutdown.Schedule      // of the stop; zero: none was requested
+	rejected map[File]*RejectedFile // nil: the latest version was accepted
 }
 
 // New creates a sidecar and opens its addresses.
 func New(c Config) (*Sidecar, error) {
-	s := &Sidecar{config: c, initialFile: c.Operator, fronts: 1, consoleReopen: make(chan struct{}, 1), figures: figures.New(), budgets: budgets{
+	s := &Sidecar{config: c, initialFile: c.Operator, fronts: 1, consoleReopen: make(chan struct{}, 1), figures: figures.New(), rejected: map[File]*RejectedFile{}, budgets: budgets{
 		slots: budget.New(0), longAnswers: budget.New(0), bodies: budget.New(0), requests: budget.New(0),
 	}}
 	s.movesKeeper, s.imageKeeper = newKeeper(&s.config, "moves"), newKeeper(&s.config, "state")
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"spokegw/internal/jsonfile"
 	"spokegw/policy"
 )
 
@@ -310,7 +311,7 @@
 	}
 	for i, c := range o.Classes {
 		if missing := o.missingKeyedKeys(i); len(missing) > 0 {
-			return Settings{}, fmt.Errorf("options: classes[%s]: a class with the effect %s needs %s", c.Name, keyedEffect, strings.Join(missing, " and "))
+			return Settings{}, fmt.Errorf("options: classes[%s]: a class with the effect %s needs %w", c.Name, keyedEffect, &jsonfile.MissingKeysError{Keys: missing})
 		}
 		window := 0.0
 		if c.Window != nil {
