--- a/bench/mutants/main.go
+++ b/bench/mutants/main.go
@@ -45,6 +45,9 @@
 	trialJudgeTests   = "Test(DroppedByTheNextProcess|CutOffByAKill|DroppedByAProcessThatEnds|RefusedBeforeAKill|HeldRequestEndsWithItsProcess|ToldBeforeDiscoveryIsDown|HeldUp)"
 	trialOutcomeTests = "TestOutcome"
 
+	// Tests of where an answer ends.
+	answerEndTests = "TestAnswerEndsWhereNetHTTPEndsIt"
+
 	// Tests of configurations that change and clients that misbehave, over processes.
 	reloadProcessTests = "TestReloadsAndMisbehavingClients"
 
@@ -95,7 +98,7 @@
 // namedByTest lists the groups whose properties are names of failing tests.
 var namedByTest = []string{
 	weightTests, siteTests, permitTests, gateTests, drainTests, clockTests, renewalTests, watchTests, slowStartTests,
-	scheduleTests, stopTests, stopFrontTests, stopProcessTests, disconnectTests, interruptTests, uploadTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests, reloadProcessTests,
+	scheduleTests, stopTests, stopFrontTests, stopProcessTests, disconnectTests, interruptTests, uploadTests, shortageTests, attributionTests, killTests, verdictTests, trialJudgeTests, trialOutcomeTests, answerEndTests, reloadProcessTests,
 }
 
 var mutants = []mutant{
@@ -297,6 +300,8 @@
 	{"internal/front/http1/plain.go", "			p.refuseIncompleteHead(err)\n", "", stopFrontTests, "TestIncompleteRequestIsAnsweredAtStop"},
 	{"internal/front/http1/conns.go", "			c.refuseIncompleteHead(err)\n", "", stopFrontTests, "TestIncompleteLaterRequestIsAnsweredAtStop"},
 	{"internal/lab/trial/client.go", "reused && took > crossesAtMost+c.play.judge.slack()", "false", trialJudgeTests, "TestHeldRequestEndsWithItsProcess"},
+	{"internal/framing/answer.go", "		if a.Chunked {\n", "		if false {\n", answerEndTests, "TestAnswerEndsWhereNetHTTPEndsIt"},
+	{"internal/upstream/body.go", "	case !a.HasBody():\n", "	case false:\n", answerEndTests, "TestAnswerEndsWhereNetHTTPEndsIt"},
 	{"internal/framing/framing.go", "h.Chunked && !hasTransferCodings(head)", "false", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
 	{"internal/core/ids.go", "	s.open[h] = struct{}{}\n	return", "	s.ended.add(h)\n	return", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
 	{"internal/wire/codec.go", "	if c.Effect != keyedEffect {\n		return nil", "	if true {\n		return nil", reloadProcessTests, "TestReloadsAndMisbehavingClients"},
@@ -361,6 +366,8 @@
 	switch m.tests {
 	case leaseTests:
 		return "internal/fleet/quota"
+	case answerEndTests:
+		return "internal/upstream"
 	case killTests, stopProcessTests, reloadProcessTests:
 		return "cmd/spokegw"
 	case stopFrontTests, uploadTests:
