sidecar: services of one name share the keys that they send after a reload

What callers saw: after a reload that takes a service's endpoints from another source, or drops the service and adds it again, a keyed request that was open then and its repeat could run at two pods.

Cause: the service in force adopted a copy of the keys known when it was made. What open requests of the one before sent later, or between the copy and the switch, was not in it; a service that was dropped took its keys with it.

Change: services of one name are a group, in which each tells the others of an attempt before it is sent and then looks for theirs, by the rule of two processes of an upgrade. What the last one knew is kept until its keys expire. A replaced service stays until its requests have ended.

Evidence: TestKeysOfOpenRequestsAcrossNewSource, TestKeysOfOpenRequestsOfServiceAddedAgain and TestKeysOfServiceAddedAgainLater failed with the group's rules taken out (three of three, as what was before), and pass 3 of 3 with -race.

--- a/internal/core/classes.go
+++ b/internal/core/classes.go
@@ -55,6 +55,16 @@
 	predecessors []int
 }
 
+// OpenRequests counts the open requests of all classes.
+func (s *Service) OpenRequests() (n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, slot := range s.settings.slots {
+		n += int64(slot.open.Load())
+	}
+	return n
+}
+
 // resolveSettings assigns the classes of a service to slots, keeping the existing ones where
 // possible.
 func resolveSettings(oldSlots []*classSlot, active []*classSlot, set Settings, figs *figures.Figures) (*resolvedSettings, error) {
--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -72,3 +72,13 @@
 	})
 	return all
 }
+
+// OpenRequestsOf counts the open requests of a service in force.
+func (s *Sidecar) OpenRequestsOf(name string) (n int64) {
+	for _, r := range s.currentServices() {
+		if r.definition.Name == name {
+			n += r.service.OpenRequests()
+		}
+	}
+	return n
+}
--- a/internal/sidecar/running.go
+++ b/internal/sidecar/running.go
@@ -25,6 +25,7 @@
 	definition operator.Service
 	ref        handover.ServiceRef // its name for other processes
 	service    *core.Service
+	keys       *keyGroup
 	upgrade    *upgrade
 	pool       *upstream.Pool
 	watcher    *discovery.Watcher // nil: the file lists the endpoints
@@ -79,6 +80,7 @@
 // newService makes a service. Its partitions of the budgets count from now on.
 func (s *Sidecar) newService(d operator.Service) (*runningService, error) {
 	r := &runningService{definition: d, ref: handover.ServiceRef{Service: d.Name, Platform: d.Platform}, upgrade: s.upgrade, stop: func() {}}
+	r.keys = s.keyGroup(r.ref)
 	joinBudget := func(b *budget.Budget, yield func() bool) *budget.Partition {
 		p := b.Join(d.Weight, yield)
 		r.partitions = append(r.partitions, p)
@@ -149,7 +151,7 @@
 	if s.initialFile != nil && s.initialFile.Fleet != nil && s.initialFile.Fleet.Weights {
 		r.service.EnableMeasurement()
 	}
-	r.service.SetPeers(peers{processes{r.upgrade}, r.ref})
+	r.service.SetPeers(peers{processes{r.upgrade}, r})
 	return r, nil
 }
 
@@ -269,12 +271,13 @@
 	r.definition = d
 }
 
-// inherit adopts what a service of the same name, which this one replaces, knows: above all the keys
-// that it sent. Keys that open requests of that service send later are not adopted.
-func (r *runningService) inherit(old []*runningService) {
+// enter adopts what a service of the same name, which this one replaces, knows: above all the keys that
+// it sent. Keys that open requests of that service send later are published in their group.
+func (r *runningService) enter(old []*runningService) {
 	if contains(old, r) {
 		return
 	}
+	r.keys.join(r.service)
 	for _, previous := range old {
 		if previous.is(&r.definition) {
 			r.service.Adopt(previous.service.Snapshot(handover.MaxKeys))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"spokegw/internal/figures"
 	"spokegw/internal/front/http1"
 	"spokegw/internal/front/http3"
+	"spokegw/internal/handover"
 	"spokegw/internal/logging"
 	"spokegw/internal/management"
 	"spokegw/internal/metrics"
@@ -63,11 +64,13 @@
 	watchCtx context.Context
 	schedule shutdown.Schedule      // of the stop; zero: none was requested
 	rejected map[File]*RejectedFile // nil: the latest version was accepted
+	// keyGroups are the groups of services by name, while there is something to be known of one.
+	keyGroups map[handover.ServiceRef]*keyGroup
 }
 
 // New creates a sidecar and opens its addresses.
 func New(c Config) (*Sidecar, error) {
-	s := &Sidecar{config: c, initialFile: c.Operator, fronts: 1, consoleReopen: make(chan struct{}, 1), figures: figures.New(), rejected: map[File]*RejectedFile{}, budgets: budgets{
+	s := &Sidecar{config: c, initialFile: c.Operator, fronts: 1, consoleReopen: make(chan struct{}, 1), figures: figures.New(), rejected: map[File]*RejectedFile{}, keyGroups: map[handover.ServiceRef]*keyGroup{}, budgets: budgets{
 		slots: budget.New(0), longAnswers: budget.New(0), bodies: budget.New(0), requests: budget.New(0),
 	}}
 	s.movesKeeper, s.imageKeeper = newKeeper(&s.config, "moves"), newKeeper(&s.config, "state")
@@ -96,6 +99,9 @@
 	if s.services, err = s.planServices(c.Operator); err != nil {
 		return err
 	}
+	for _, r := range s.services {
+		r.enter(nil)
+	}
 	table, terms, err := s.buildTable(c.Operator, s.services, nil)
 	if err != nil {
 		return err
@@ -304,7 +310,7 @@
 		if s.watchCtx != nil {
 			r.start(s.watchCtx)
 		}
-		r.inherit(old)
+		r.enter(old)
 	}
 	s.core.SetTableAndTerms(table, terms)
 	s.bindAccounts(services)
--- a/internal/sidecar/sweep.go
+++ b/internal/sidecar/sweep.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"time"
+
+	"spokegw/internal/handover"
 )
 
 const sweepPeriod = time.Second
@@ -25,7 +28,7 @@
 	}
 }
 
-// RetiredServices counts the removed services that still have open connections.
+// RetiredServices counts the removed services that still have open connections or requests.
 func (s *Sidecar) RetiredServices() int {
 	s.sweepOnce()
 	s.mu.Lock()
@@ -42,11 +45,14 @@
 	}
 	var left []*runningService
 	for _, r := range s.retired {
-		if r.pool.Sweep(); r.pool.OpenConns() > 0 {
+		if r.pool.Sweep(); r.pool.OpenConns() > 0 || r.service.OpenRequests() > 0 {
 			left = append(left, r)
+			continue
 		}
+		r.keys.leave(r.service)
 	}
 	s.retired = left
+	maps.DeleteFunc(s.keyGroups, func(_ handover.ServiceRef, g *keyGroup) bool { return g.isOver() })
 }
 
 // tickMoves advances the moves and saves their progress.
--- a/internal/sidecar/upgrade.go
+++ b/internal/sidecar/upgrade.go
@@ -148,7 +148,7 @@
 	}, func(k handover.Key, number uint64) {
 		k = k.Aged(state.Now().Since)
 		if r := u.sidecar.findService(k.ServiceRef); r != nil {
-			r.service.AdoptKey(k.Note)
+			r.keys.publish(nil, k.Note)
 			u.relay(u.offerer != nil && u.offerer.HasSuccessor(), func() { u.sendKeyToSuccessor(k) })
 		}
 		u.sidecar.persistPredecessorKey(predecessorKey{k, number})
@@ -180,10 +180,22 @@
 // processes are those before and after this one.
 type processes struct{ upgrade *upgrade }
 
-// peers are the processes before and after this one, for the keys of one service.
+// peers are the processes before and after this one, and the other services of the same name in it, for
+// the keys of one service.
 type peers struct {
 	processes
-	ref handover.ServiceRef
+	of *runningService
+}
+
+// Exist reports whether there are, or were, other processes, or there are other services.
+func (p peers) Exist() bool { return p.processes.Exist() || p.of.keys.hasOthers() }
+
+// CatchUp waits until all that other processes have sent has been received.
+func (p peers) CatchUp() error {
+	if !p.processes.Exist() {
+		return nil
+	}
+	return p.processes.CatchUp()
 }
 
 // Exist reports whether there are, or were, others.
@@ -192,9 +204,13 @@
 	return u.predecessor != nil || u.offerer != nil && u.offerer.HadSuccessor()
 }
 
-// Publish notifies both peers of a key.
+// Publish notifies the other services and both other processes of a key.
 func (p peers) Publish(n keyed.Note) error {
-	u, k := p.upgrade, handover.Key{ServiceRef: p.ref, Note: n, At: state.Now().Since}
+	p.of.keys.publish(p.of.service, n)
+	if !p.processes.Exist() {
+		return nil
+	}
+	u, k := p.upgrade, handover.Key{ServiceRef: p.of.ref, Note: n, At: state.Now().Since}
 	if err := u.sendKeyToPredecessor(k); err != nil {
 		return err
 	}
@@ -275,7 +291,7 @@
 func (u *upgrade) SuccessorKey(k handover.Key) {
 	if r := u.sidecar.findService(k.ServiceRef); r != nil {
 		k = k.Aged(state.Now().Since)
-		r.service.AdoptKey(k.Note)
+		r.keys.publish(nil, k.Note)
 		u.relay(u.hasPredecessor(), func() { u.sendKeyToPredecessor(k) })
 	}
 }
