upstream: a line behind the last chunk has to be a field

What callers saw: a chunked answer with a malformed trailer, which is spoilt, was served with 200. It ended at the same place as for net/http, so nothing behind it was taken for another answer.

Cause: the reader bounded the lines of a trailer and did not look at them.

Evidence: FuzzAnswerEnd found it after 1.7 million answers (2 minutes 22 s); three trailers of TestInvalidChunks were accepted before.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -171,6 +171,12 @@
 	return true
 }
 
+// IsField reports whether a line without its end is a header or trailer field.
+func IsField(line []byte) bool {
+	name, _, found := bytes.Cut(line, colon)
+	return found && isToken(name) && validLine(line, true)
+}
+
 // isToken reports whether name is a valid field name. This excludes a space before the
 // colon, and folded lines.
 func isToken(name []byte) bool {
--- a/internal/upstream/chunks.go
+++ b/internal/upstream/chunks.go
@@ -148,7 +148,7 @@
 		c.state = chunkDone
 		return io.EOF
 	}
-	if c.trailer += len(line) + len("\r\n"); c.trailer > framing.MaxHead {
+	if c.trailer += len(line) + len("\r\n"); c.trailer > framing.MaxHead || !framing.IsField(line) {
 		return errTrailer
 	}
 	return nil
