--- a/internal/sidecar/key_group_test.go
+++ b/internal/sidecar/key_group_test.go
@@ -82,19 +82,7 @@
 	finishAll(func(i int, _ net.Conn) {
 		finish(connect(t, s.Addr()), keyedPost(fmt.Sprint("key-", i), fmt.Sprint("again-", i))+restOfBody)
 	})
-	runs.mu.Lock()
-	defer runs.mu.Unlock()
-	for key, at := range runs.at {
-		for _, pod := range at {
-			if pod != at[0] {
-				t.Errorf("%s was sent to the pods %v", key, at)
-				break
-			}
-		}
-	}
-	if len(runs.at) != keys {
-		t.Errorf("%d of %d keys were sent", len(runs.at), keys)
-	}
+	runs.checkOnePodEach(t, keys)
 }
 
 func reloadAll(t *testing.T, s *scene.Scene, files ...string) {
--- a/internal/sidecar/operator_reload_test.go
+++ b/internal/sidecar/operator_reload_test.go
@@ -37,6 +37,24 @@
 	return pods
 }
 
+// checkOnePodEach checks that a number of keys were sent, each to one pod.
+func (k *keyRuns) checkOnePodEach(t *testing.T, keys int) {
+	t.Helper()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key, at := range k.at {
+		for _, pod := range at {
+			if pod != at[0] {
+				t.Errorf("%s was sent to the pods %v", key, at)
+				break
+			}
+		}
+	}
+	if len(k.at) != keys {
+		t.Errorf("%d of %d keys were sent", len(k.at), keys)
+	}
+}
+
 // closures returns the section of a keyed service, each endpoint of which is a pod.
 func closures(pods []*lab.Endpoint) string {
 	text := weather("/closures", pods...)
@@ -92,19 +110,7 @@
 				t.Fatal(err)
 			}
 			sendAll("again")
-			runs.mu.Lock()
-			defer runs.mu.Unlock()
-			for key, at := range runs.at {
-				for _, pod := range at {
-					if pod != at[0] {
-						t.Errorf("%s was sent to the pods %v", key, at)
-						break
-					}
-				}
-			}
-			if len(runs.at) != keys {
-				t.Errorf("%d of %d keys were sent", len(runs.at), keys)
-			}
+			runs.checkOnePodEach(t, keys)
 			if n := s.Sidecar.RetiredServices(); n > 0 {
 				t.Errorf("%d services were made anew", n)
 			}
