fleet/sites, lab/hardware: standard names for the states of a site and for the plan

Texts, help of metrics and pages say healthy and suspected for whole and doubted, as the code's constants do; the numbers, and the names of figures, stay. In the model of hardware door, away and turn become enforcer, avoided and applyPlan. No change of behaviour.

--- a/cmd/spokegw/operate.go
+++ b/cmd/spokegw/operate.go
@@ -227,7 +227,7 @@
 			fmt.Fprintln(w, "SITE\tSTATE\tMET")
 			for _, name := range names {
 				state := min(max(int(s.figures["fleet.site."+name+".state"]), 0), 3)
-				fmt.Fprintf(w, "%s\t%s\t%.2f\n", name, [...]string{"whole", "doubted", "lost", "returning"}[state], s.figures["fleet.site."+name+".met"]/1000)
+				fmt.Fprintf(w, "%s\t%s\t%.2f\n", name, [...]string{"healthy", "suspected", "lost", "returning"}[state], s.figures["fleet.site."+name+".met"]/1000)
 			}
 		}
 		fmt.Fprintln(w)
--- a/internal/fleet/sites/sites.go
+++ b/internal/fleet/sites/sites.go
@@ -37,7 +37,7 @@
 	if s > Returning {
 		return "unknown"
 	}
-	return [...]string{"whole", "doubted", "lost", "returning"}[s]
+	return [...]string{"healthy", "suspected", "lost", "returning"}[s]
 }
 
 // Settings are the same at all gateways.
--- a/internal/lab/hardware/gateway.go
+++ b/internal/lab/hardware/gateway.go
@@ -24,10 +24,10 @@
 	sizes    map[weights.ID]float64
 	calls    map[policy.RequestID]*call
 	inFlight []int
-	away     []bool // the module has it as draining
+	avoided  []bool // the module has it as draining
 	fails    map[string]int
 	asked    weights.Stats
-	door     *sites.Enforcer
+	enforcer *sites.Enforcer
 	contract *contract // nil: there is no quota
 }
 
@@ -107,7 +107,7 @@
 	out := g.node.Tick(now, candidates)
 	factors, _ := g.node.Factors(now)
 	g.sizes = factors
-	g.turn(now)
+	g.applyPlan(now)
 	if g.node.HasFreshTable(now) {
 		g.resize()
 	}
@@ -123,8 +123,8 @@
 		if !ok {
 			f = 1
 		}
-		if g.door != nil {
-			f *= g.door.Factor(g.lab.Servers[id].Site)
+		if g.enforcer != nil {
+			f *= g.enforcer.Factor(g.lab.Servers[id].Site)
 		}
 		return f * g.lab.Servers[id].Listed, true
 	})
--- a/internal/lab/hardware/request.go
+++ b/internal/lab/hardware/request.go
@@ -44,7 +44,7 @@
 		l.Tally.OverQuota++
 		delete(g.calls, id)
 		return
-	case g.door != nil && !g.door.Admits(sites.Group{Class: uint16(class)}, l.Rand.Float64()):
+	case g.enforcer != nil && !g.enforcer.Admits(sites.Group{Class: uint16(class)}, l.Rand.Float64()):
 		g.withdraw(c)
 		l.Tally.Refused++
 		delete(g.calls, id)
--- a/internal/lab/hardware/sites.go
+++ b/internal/lab/hardware/sites.go
@@ -70,22 +70,22 @@
 	if l.Way == Breaker {
 		e.Started = 0 // what is back is back
 	}
-	if g.away[i] || l.Servers[i].leaving {
+	if g.avoided[i] || l.Servers[i].leaving {
 		e.Readiness = policy.Draining
 	}
 	g.sums[i].ID = l.ids[i]
 	g.carryOut(g.balancer.Endpoints(l.Now, []policy.Endpoint{e}, false))
 }
 
-// turn has the decision module meet what the plan has met, and nothing else.
-func (g *gateway) turn(now time.Duration) {
+// applyPlan has the decision module send to the endpoints that the plan routes to, and to no others.
+func (g *gateway) applyPlan(now time.Duration) {
 	l := g.lab
-	if g.door = g.node.Enforcer(now); g.door == nil {
+	if g.enforcer = g.node.Enforcer(now); g.enforcer == nil {
 		return
 	}
 	for i, s := range l.Servers {
-		if away := !g.door.RoutesTo(s.Site, uint64(l.ids[i])); away != g.away[i] {
-			g.away[i] = away
+		if avoided := !g.enforcer.RoutesTo(s.Site, uint64(l.ids[i])); avoided != g.avoided[i] {
+			g.avoided[i] = avoided
 			g.relist(i)
 		}
 	}
@@ -105,13 +105,13 @@
 	}
 	g.fails[site] = 0
 	for i, s := range l.Servers {
-		if s.Site != site || g.away[i] {
+		if s.Site != site || g.avoided[i] {
 			continue
 		}
-		g.away[i] = true
+		g.avoided[i] = true
 		g.relist(i)
 		l.After(breakFor, func() {
-			g.away[i] = false
+			g.avoided[i] = false
 			g.relist(i)
 		})
 	}
@@ -158,7 +158,7 @@
 	return mean
 }
 
-// Admission name the sums of what came to gateways' doors.
+// Admission returns the IDs that count requests at the gateways' admission, and the worth of classes.
 func (g *gateway) Admission() (map[weights.ID]bool, map[weights.Class]float64) {
 	worth := map[weights.Class]float64{}
 	for i, c := range g.lab.Classes {
@@ -176,7 +176,7 @@
 		}
 		for i, s := range l.Servers {
 			if s.Site == site {
-				if all++; !g.away[i] {
+				if all++; !g.avoided[i] {
 					met++
 				}
 			}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,8 +50,8 @@
 	fleetAge     = prometheus.NewDesc("spokegw_fleet_weights_age_seconds", "Age of the fleet's weights in force here; under 0: there are none.", nil, nil)
 	fleetWeights = prometheus.NewDesc("spokegw_fleet_weights_endpoints", "Endpoints that have another weight than the list gives them.", nil, nil)
 	fleetChanges = prometheus.NewDesc("spokegw_fleet_weights_changes_total", "Changes found in what endpoints can do, by the holder of the duty.", nil, nil)
-	fleetSite    = prometheus.NewDesc("spokegw_fleet_site_state", "Where a site stands by the fleet's plan: 0 whole, 1 doubted, 2 lost, 3 returning.", []string{"site"}, nil)
-	fleetMet     = prometheus.NewDesc("spokegw_fleet_site_met", "Part of a site's endpoints that this gateway meets.", []string{"site"}, nil)
+	fleetSite    = prometheus.NewDesc("spokegw_fleet_site_state", "State of a site by the fleet's plan: 0 healthy, 1 suspected, 2 lost, 3 returning.", []string{"site"}, nil)
+	fleetMet     = prometheus.NewDesc("spokegw_fleet_site_met", "Fraction of a site's endpoints that this gateway sends first attempts to.", []string{"site"}, nil)
 	fleetLost    = prometheus.NewDesc("spokegw_fleet_messages_unused_total", "Messages of the fleet that were not used, by reason.", []string{"reason"}, nil)
 	reloadErrors = prometheus.NewDesc("spokegw_config_reload_errors_total", "Files turned down at SIGHUP.", nil, nil)
 	rejections   = prometheus.NewDesc("spokegw_config_rejections_total", "Files turned down at SIGHUP, by reason.", []string{"reason"}, nil)
@@ -80,7 +80,7 @@
 // Site is the state of a site in the fleet's plan.
 type Site struct {
 	Name     string
-	State    int     // 0 whole, 1 doubted, 2 lost, 3 returning
+	State    int     // 0 healthy, 1 suspected, 2 lost, 3 returning
 	Fraction float64 // of its endpoints that this gateway routes to
 }
 
