--- a/internal/lab/hardware/gateway.go
+++ b/internal/lab/hardware/gateway.go
@@ -34,7 +34,7 @@
 // start starts a gateway, also anew.
 func (l *Lab) start(now time.Duration, set quota.Settings, name string, incarnation uint64, plan []quota.Gateway) gateways.Way {
 	g := &gateway{lab: l, name: name, sums: make([]weights.Stats, len(l.Servers)), calls: map[policy.RequestID]*call{}, inFlight: make([]int, len(l.Servers)),
-		away: make([]bool, len(l.Servers)), fails: map[string]int{}, asked: weights.Stats{ID: weights.AdmissionID("")}}
+		avoided: make([]bool, len(l.Servers)), fails: map[string]int{}, asked: weights.Stats{ID: weights.AdmissionID("")}}
 	for i, id := range l.ids {
 		g.sums[i].ID = id
 	}
