trial: the operator's file changes between keyed requests and their repeats

-reloads gives each process an operator's file with a second, keyed service of four pods. The file changes (attempts, second copies, weight, another class) or is broken between a request that may have run and its repeat; a key that runs at two pods is a duplicate. Broken configurations are played in turn, by any process that is free, with clients of keyed requests beside.

--- a/cmd/spokegw/reloads_test.go
+++ b/cmd/spokegw/reloads_test.go
@@ -14,7 +14,7 @@
 func TestReloadsAndMisbehavingClients(t *testing.T) {
 	r, err := trial.Run(context.Background(), trial.Config{
 		Program: os.Args[0], Env: []string{"RUN_SPOKEGW=1"}, Dir: t.TempDir(), Sidecars: 3, Endpoints: 8, Clients: 3, Grace: time.Second,
-		Lasts: 30 * time.Second, Seed: 50, Misbehaving: 2, Reloads: true,
+		Lasts: 30 * time.Second, Seed: 94, Misbehaving: 2, Reloads: true,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/trial/client.go
+++ b/internal/lab/trial/client.go
@@ -219,7 +219,7 @@
 	if k.effect != safe {
 		method = "POST"
 	}
-	fmt.Fprintf(&b, "%s /%s HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline: %dm\r\n", method, k.name, id, k.name, k.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s /%s HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Owner: %s\r\nReq-Deadline: %dm\r\n", method, k.name, id, k.name, teamName, k.deadline.Milliseconds())
 	if k.effect == keyed {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", id)
 	}
--- a/internal/lab/trial/faults.go
+++ b/internal/lab/trial/faults.go
@@ -235,6 +235,17 @@
 	}
 }
 
+// exchangeFree is exchange with any process that nothing else is done with, if there is one.
+func (p *play) exchangeFree(rng *rand.Rand, do func(s *sidecarProcess)) {
+	for _, i := range rng.Perm(len(p.sidecars)) {
+		if s := p.sidecars[i]; s.busy.TryLock() {
+			defer s.busy.Unlock()
+			do(s)
+			return
+		}
+	}
+}
+
 // moveDiscovery gives a sidecar a new configuration, in which discovery is elsewhere.
 func (p *play) moveDiscovery(_ context.Context, rng *rand.Rand) {
 	p.exchange(rng, func(s *sidecarProcess) {
--- a/internal/lab/trial/misbehaving_test.go
+++ b/internal/lab/trial/misbehaving_test.go
@@ -119,7 +119,7 @@
 	_, classes := decode(t, whole)
 	seen := map[string]bool{}
 	for seed := range uint64(500) {
-		text, how := brokenFile(whole, rand.New(rand.NewPCG(seed, 1)))
+		text, how := brokenFile(whole, brokenKind(seed)%brokenKinds, rand.New(rand.NewPCG(seed, 1)))
 		seen[strings.Split(how, ",")[0]] = true
 		_, broken := decode(t, text)
 		if broken == nil {
--- a/internal/lab/trial/play.go
+++ b/internal/lab/trial/play.go
@@ -84,12 +84,13 @@
 	judge     *judge
 	shared    *shared
 	registry  []*registry
+	transfers *transfers // nil: configurations do not change
 	endpoints []*endpoint
 	sidecars  []*sidecarProcess
 	rng       *rand.Rand
 	entries   map[string]discovery.Entry
 
-	asked, served, refused, failed, doors, uploads, readers atomic.Int64
+	asked, served, refused, failed, doors, uploads, readers, brokenFiles atomic.Int64
 
 	mu     sync.Mutex
 	faults []string
@@ -152,6 +153,12 @@
 		entries = append(entries, e)
 	}
 	p.shared = newShared(entries)
+	if p.Reloads {
+		var err error
+		if p.transfers, err = startTransfers(); err != nil {
+			return err
+		}
+	}
 	for i := range p.Sidecars {
 		r, err := startRegistry(p.shared)
 		if err != nil {
@@ -222,6 +229,9 @@
 	for _, e := range p.endpoints {
 		e.close()
 	}
+	if p.transfers != nil {
+		p.transfers.close()
+	}
 	for _, r := range p.registry {
 		r.close()
 	}
@@ -297,14 +307,15 @@
 // sidecarProcess is one sidecar through all its processes.
 type sidecarProcess struct {
 	*play
-	name   string
-	from   *registry
-	listen string
-	config string
-	log    *logFile
-	done   process.Disturbances
-	crowds atomic.Int64 // of idle or slow clients that are there
-	ends   atomic.Int64 // counts when a stop of a process begins and when it is over
+	name     string
+	from     *registry
+	listen   string
+	config   string
+	operator string // path of the operator's file; "": there is none
+	log      *logFile
+	done     process.Disturbances
+	crowds   atomic.Int64 // of idle or slow clients that are there
+	ends     atomic.Int64 // counts when a stop of a process begins and when it is over
 
 	busy sync.Mutex // held while something is done with the process
 	proc *process.Process
@@ -319,6 +330,12 @@
 	if s.log, err = newLogFile(filepath.Join(p.Dir, fmt.Sprintf("n%d.log", i))); err != nil {
 		return nil, err
 	}
+	if p.transfers != nil {
+		s.operator = filepath.Join(p.Dir, fmt.Sprintf("n%d.toml", i))
+		if err := replaceFile(s.operator, []byte(usualOperatorFile.text(p.transfers.pods))); err != nil {
+			return nil, err
+		}
+	}
 	return s, s.configure(p.registry[i].addr(), known)
 }
 
@@ -360,7 +377,11 @@
 
 // startProcess starts a process, beside the one that serves if there is one.
 func (s *sidecarProcess) startProcess() (*process.Process, error) {
-	return process.Start(s.Program, "", append([]string{"NODE_CONFIG=" + s.config, "TMPDIR=" + s.Dir}, s.Env...), s.log)
+	env := append([]string{"NODE_CONFIG=" + s.config, "TMPDIR=" + s.Dir}, s.Env...)
+	if s.operator != "" {
+		env = append(env, "SPOKEGW_OPERATOR="+s.operator)
+	}
+	return process.Start(s.Program, "", env, s.log)
 }
 
 // awaitReady waits until a process is ready, and judges that it is in time.
--- a/internal/lab/trial/reloads.go
+++ b/internal/lab/trial/reloads.go
@@ -19,6 +19,7 @@
 var reloadFaults = []fault{
 	{"a broken configuration", 6, (*play).brokenConfiguration},
 	{"a configuration with other classes", 6, (*play).otherClasses},
+	{"the operator's file changes", 6, (*play).changeOperatorFile},
 }
 
 const (
@@ -37,41 +38,59 @@
 	{"signal", keyed, 700 * time.Millisecond, 600 * time.Millisecond},
 }
 
-// brokenFile makes a whole configuration broken: it is empty, cut off, short of a key, or has a
-// value that is not allowed.
-func brokenFile(whole []byte, rng *rand.Rand) (text []byte, how string) {
-	switch rng.IntN(6) {
-	case 0:
+// brokenKind is how a broken configuration is broken. They are played in turn.
+type brokenKind int
+
+const (
+	withoutScope brokenKind = iota
+	empty
+	withoutWindow
+	cutOff
+	withoutOtherKey
+	withoutTime // a deadline of 0
+	brokenKinds
+)
+
+// brokenFile makes a whole configuration broken.
+func brokenFile(whole []byte, kind brokenKind, rng *rand.Rand) (text []byte, how string) {
+	isKeyed := func(class map[string]any) bool { return class["effect"] == effects[keyed] }
+	isAny := func(map[string]any) bool { return true }
+	without := func(key string) func(class map[string]any) string {
+		return func(class map[string]any) string {
+			delete(class, key)
+			return "short of " + key
+		}
+	}
+	switch kind {
+	case empty:
 		return nil, "empty"
-	case 1:
+	case cutOff:
 		return whole[:1+rng.IntN(len(whole)-2)], "cut off"
-	case 2:
-		return editClass(whole, rng, func(class map[string]any) string {
-			class["hard_limit_ms"] = 0
-			return "hard_limit_ms 0"
-		})
-	}
-	return editClass(whole, rng, func(class map[string]any) string {
+	case withoutScope:
+		return editClass(whole, rng, isKeyed, without("key_scope"))
+	case withoutWindow:
+		return editClass(whole, rng, isKeyed, without("dedup_window_ms"))
+	case withoutOtherKey:
 		keys := []string{"effect", "worth", "aim_ms", "hard_limit_ms"}
-		if class["effect"] == effects[keyed] {
-			keys = []string{"key_scope", "dedup_window_ms"}
-		}
-		key := keys[rng.IntN(len(keys))]
-		delete(class, key)
-		return fmt.Sprint("short of ", key)
+		return editClass(whole, rng, isAny, without(keys[rng.IntN(len(keys))]))
+	}
+	return editClass(whole, rng, isAny, func(class map[string]any) string {
+		class["hard_limit_ms"] = 0
+		return "hard_limit_ms 0"
 	})
 }
 
-// editClass changes one class of a configuration, as often as not a keyed one.
-func editClass(whole []byte, rng *rand.Rand, edit func(class map[string]any) string) (text []byte, how string) {
+// editClass changes a random class of those of a configuration that may be changed.
+func editClass(whole []byte, rng *rand.Rand, may func(class map[string]any) bool, edit func(class map[string]any) string) (text []byte, how string) {
 	var file map[string]any
 	json.Unmarshal(whole, &file) // it was made by this package
-	classes := file["settings"].(map[string]any)["classes"].([]any)
-	i := rng.IntN(len(classes))
-	if rng.IntN(2) == 0 {
-		i = slices.IndexFunc(classes, func(c any) bool { return c.(map[string]any)["effect"] == effects[keyed] })
+	var classes []map[string]any
+	for _, c := range file["settings"].(map[string]any)["classes"].([]any) {
+		if class := c.(map[string]any); may(class) {
+			classes = append(classes, class)
+		}
 	}
-	class := classes[i].(map[string]any)
+	class := classes[rng.IntN(len(classes))]
 	how = fmt.Sprintf("%s, class %v", edit(class), class["name"])
 	text, _ = json.Marshal(file) // of plain values
 	return text, how
@@ -80,12 +99,13 @@
 // brokenConfiguration has a sidecar reload a broken configuration while endpoints fail, so that requests
 // are repeated: the settings in force have to stay.
 func (p *play) brokenConfiguration(ctx context.Context, rng *rand.Rand) {
-	p.exchange(rng, func(s *sidecarProcess) {
+	p.exchangeFree(rng, func(s *sidecarProcess) {
 		whole, err := os.ReadFile(s.config)
 		if err != nil {
 			return
 		}
-		text, how := brokenFile(whole, rng)
+		kind := brokenKind(p.brokenFiles.Add(1)-1) % brokenKinds
+		text, how := brokenFile(whole, kind, rng)
 		if bytes.Equal(text, whole) || s.writeConfiguration(text) != nil {
 			return
 		}
@@ -128,7 +148,7 @@
 // otherClasses has a sidecar reload a whole configuration with another class, or with its classes in
 // another order, and has a client use the class.
 func (p *play) otherClasses(ctx context.Context, rng *rand.Rand) {
-	p.exchange(rng, func(s *sidecarProcess) {
+	p.exchangeFree(rng, func(s *sidecarProcess) {
 		whole, err := os.ReadFile(s.config)
 		if err != nil {
 			return
@@ -209,8 +229,5 @@
 
 // writeConfiguration replaces the configuration's file as a whole.
 func (s *sidecarProcess) writeConfiguration(text []byte) error {
-	if err := os.WriteFile(s.config+".new", text, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(s.config+".new", s.config)
+	return replaceFile(s.config, text)
 }
