--- a/cmd/spokegw/examples.go
+++ b/cmd/spokegw/examples.go
@@ -24,6 +24,7 @@
 	"spokegw disable":       "  spokegw disable maps-3",
 	"spokegw enable":        "  spokegw enable maps-3",
 	"spokegw reload":        "  spokegw diff new.toml && mv new.toml operator.toml && spokegw reload",
+	"spokegw rejected":      "  spokegw rejected --json",
 	"spokegw state":         "  spokegw state show --directory /var/lib/spokegw",
 	"spokegw state show":    "  spokegw state show --directory /var/lib/spokegw",
 	"spokegw state verify":  "  spokegw state verify --directory /var/lib/spokegw || echo something is torn",
--- a/internal/sidecar/rejected.go
+++ b/internal/sidecar/rejected.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"io/fs"
 	"log/slog"
@@ -68,7 +67,11 @@
 		return nil
 	}
 	reason := rejectionOf(err)
-	slog.Error(fmt.Sprintf("the new %s is not used", file), "reason", reason.String(), "error", err)
+	if file == ConfigurationFile {
+		slog.Error("the new configuration is not used", "reason", reason.String(), "error", err)
+	} else {
+		slog.Error("the new operator's file is not used", "reason", reason.String(), "error", err)
+	}
 	s.figures.ReloadErrors.Add(1)
 	s.figures.Rejections[reason].Add(1)
 	faults = faultTexts(err)
